--- /dev/null
+++ b/internal/coordination/fleet.go
@@ -0,0 +1,639 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+type fleetState struct {
+	counter    int
+	listed     time.Time
+	typesAt    time.Time
+	returnBusy bool
+}
+
+// cloudLoop keeps machine types and the machine list up to date, and carries
+// out recorded returns.
+func (n *Node) cloudLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		now := time.Now()
+		needTypes := len(n.types) == 0 || now.Sub(n.fleet.typesAt) > 30*time.Second
+		needList := n.loaded && len(n.types) > 0 && now.Sub(n.fleet.listed) > max(5*time.Second, n.cfg.CloudLimit.ListLag)
+		hosts := n.toReturn(now)
+		n.mu.Unlock()
+		switch {
+		case needTypes:
+			n.fetchTypes(ctx)
+		case len(hosts) > 0:
+			go n.returnHosts(ctx, hosts)
+		case needList:
+			n.listMachines(ctx)
+		}
+		pause(ctx, 150*time.Millisecond)
+	}
+}
+
+func (n *Node) fetchTypes(ctx context.Context) {
+	if n.cloud.Wait(ctx) != nil {
+		return
+	}
+	var out protocol.MachineTypes
+	status, err := n.call(ctx, n.cfg.Cloud, "GET", protocol.PathMachineTypes, nil, &out, 4*time.Second)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil || status != 200 || len(out.Types) == 0 {
+		n.log.Debug("machine types", "status", status, "err", err)
+		if len(n.types) > 0 {
+			n.fleet.typesAt = time.Now().Add(-20 * time.Second)
+		}
+		return
+	}
+	n.fleet.typesAt = time.Now()
+	n.types = make(map[string]*protocol.MachineType, len(out.Types))
+	for i := range out.Types {
+		n.types[out.Types[i].Name] = &out.Types[i]
+	}
+}
+
+// returnMachine records that a machine goes back. The record is final: from
+// then on nothing is placed there, whoever owns the shard.
+func (n *Node) returnMachine(s *shard, m *machine) {
+	if m.returning || m.rec.State != "" || s.token == 0 {
+		return
+	}
+	m.returning = true
+	rec := m.rec
+	rec.State = ledger.Returning
+	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
+		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 0, func(error) { m.returning = false })
+}
+
+// toReturn lists the machines whose return is recorded and not carried out.
+func (n *Node) toReturn(now time.Time) []string {
+	var hosts []string
+	if !n.loaded || n.fleet.returnBusy {
+		return nil
+	}
+	for _, m := range n.machines {
+		if m.rec.State == ledger.Returning && n.active(n.shards[m.rec.Shard]) && now.After(m.returnNext) && len(hosts) < 100 {
+			hosts = append(hosts, m.host)
+		}
+	}
+	slices.Sort(hosts)
+	if len(hosts) > 0 {
+		n.fleet.returnBusy = true
+	}
+	return hosts
+}
+
+func (n *Node) returnHosts(ctx context.Context, hosts []string) {
+	var status int
+	err := n.cloud.Wait(ctx)
+	if err == nil {
+		status, err = n.call(ctx, n.cfg.Cloud, "POST", protocol.PathReturn, protocol.HostNames{Hosts: hosts}, nil, 4*time.Second)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.returnBusy = false
+	for _, host := range hosts {
+		m := n.machines[host]
+		s := n.shards[m.rec.Shard]
+		m.returnNext = time.Now().Add(time.Second)
+		if err != nil || status != 200 || !n.active(s) || m.rec.State != ledger.Returning {
+			continue
+		}
+		// The 200 proves that the machine and everything on it are gone.
+		rec := m.rec
+		rec.State = ledger.Gone
+		n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + host, Stamp: m.stamp}},
+			[]ledger.Op{{Key: ledger.MachineKeys + host, Value: &rec}}, 0, func(error) {})
+	}
+	n.log.Info("machines returned", "hosts", strings.Join(hosts, ","), "status", status, "err", err)
+}
+
+// listMachines finds machines that failed, and some that nobody expected.
+func (n *Node) listMachines(ctx context.Context) {
+	from := ""
+	for range 20 {
+		if n.cloud.Wait(ctx) != nil {
+			return
+		}
+		var out protocol.MachineList
+		status, err := n.call(ctx, n.cfg.Cloud, "GET", protocol.PathMachines+"?most=500&from="+from, nil, &out, 4*time.Second)
+		n.mu.Lock()
+		n.fleet.listed = time.Now()
+		if err == nil && status == 200 {
+			for _, h := range out.Hosts {
+				n.listed(h)
+				from = h.Host
+			}
+		}
+		n.mu.Unlock()
+		if err != nil || status != 200 || !out.Truncated {
+			return
+		}
+	}
+}
+
+func (n *Node) listed(h protocol.ListedMachine) {
+	m := n.machines[h.Host]
+	switch {
+	case m == nil:
+		// A hire whose answer was lost shows up here. A younger one may still
+		// be about to be recorded by the node that hired it.
+		if n.leading() && protocol.Seconds(h.HeldS) > 10*time.Second+2*n.cfg.CloudLimit.ListLag {
+			n.adopt(h.Host, h.Type, h.Zone, h.Spot, h.Addr)
+		}
+	case h.Phase == protocol.MachineFailed && m.rec.State == "":
+		if s := n.shards[m.rec.Shard]; n.active(s) {
+			n.log.Info("machine failed", "host", h.Host)
+			n.returnMachine(s, m)
+		}
+	}
+}
+
+// workOn counts the tasks that are or may be on a machine.
+func (n *Node) workOn(host string) int {
+	work := 0
+	for _, c := range n.claims {
+		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
+			if rec == nil {
+				continue
+			}
+			for _, p := range rec.Open {
+				if p.Host == host {
+					work++
+				}
+			}
+		}
+	}
+	return work
+}
+
+// fleetLoop works off the difference between the machines there should be and
+// those there are: owners return what is idle, the leader hires.
+func (n *Node) fleetLoop(ctx context.Context) {
+	for pause(ctx, 700*time.Millisecond) {
+		n.mu.Lock()
+		if n.loaded && len(n.types) > 0 {
+			now := time.Now()
+			for _, name := range n.shardNames() {
+				if s := n.shards[name]; n.active(s) {
+					n.returnIdle(s, now)
+				}
+			}
+			if n.leading() {
+				n.retryHires(now)
+				n.hireFor(now)
+			}
+		}
+		n.mu.Unlock()
+	}
+}
+
+// returnIdle gives back machines that have had nothing to do for a while and
+// are not part of the warm room, those that never came up, and sick ones.
+func (n *Node) returnIdle(s *shard, now time.Time) {
+	work := make(map[string]bool)
+	services := 0.0
+	for _, c := range n.claims {
+		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
+			if rec == nil {
+				continue
+			}
+			for _, p := range rec.Open {
+				work[p.Host] = true
+				if c.spec != nil && rec == c.rec && rec.Shard == s.name && c.spec.Shape == protocol.Service {
+					services += c.spec.CPUs
+				}
+			}
+		}
+	}
+	spare := 0.0
+	rooms := n.rooms(s, now)
+	for _, r := range rooms {
+		if r.usable && !r.spot && r.total.GPUs == 0 {
+			spare += r.cpus
+		}
+	}
+	keep := services * n.pol.WarmShare
+	for _, m := range n.machines {
+		if m.rec.Shard != s.name || m.rec.State != "" || m.returning {
+			continue
+		}
+		t := n.typeOf(m.rec.Type)
+		if m.rep == nil {
+			age := now.Sub(time.UnixMilli(m.rec.Born))
+			if age > 4*t.Boot()+30*time.Second && now.Sub(m.adoptedAt) > t.Boot()+n.cfg.Workers.Lease {
+				n.log.Info("machine never came up", "host", m.host)
+				n.returnMachine(s, m)
+			}
+			continue
+		}
+		if work[m.host] || n.strays(m) || now.Sub(m.adoptedAt) < n.pol.Idle {
+			m.idleSince = time.Time{}
+			continue
+		}
+		if m.idleSince.IsZero() {
+			m.idleSince = now
+		}
+		if m.sick {
+			n.returnMachine(s, m)
+			continue
+		}
+		if now.Sub(m.idleSince) < n.pol.Idle {
+			continue
+		}
+		if !m.rec.Spot && t.GPUs == 0 {
+			if spare-t.CPUs < keep {
+				continue
+			}
+			spare -= t.CPUs
+		}
+		n.log.Info("returning an idle machine", "host", m.host)
+		n.returnMachine(s, m)
+	}
+}
+
+func (n *Node) strays(m *machine) bool {
+	for _, t := range m.tasks {
+		if t.Phase != protocol.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
+// offer is a kind of machine that the cloud may rent.
+type offer struct {
+	typ  *protocol.MachineType
+	zone string
+	spot bool
+}
+
+func (o offer) key() string { return o.typ.Name + "/" + o.zone + "/" + strconv.FormatBool(o.spot) }
+
+func (o offer) price() float64 {
+	if o.spot {
+		return o.typ.SpotPrice
+	}
+	return o.typ.Price
+}
+
+// want is work without a machine: count tasks like spec.
+type want struct {
+	spec  *protocol.Submission
+	count int
+	zone  string // for warm room: where it should be
+}
+
+// hireFor hires for the work that neither free nor coming room can take.
+func (n *Node) hireFor(now time.Time) {
+	supply := n.supply()
+	wants, arrays := n.wants(now)
+	var need []offer
+	for _, w := range wants {
+		need = append(need, n.fill(&supply, w, now, math.Inf(1))...)
+	}
+	budget := n.arrayBudget(arrays, supply)
+	for _, w := range arrays {
+		got := n.fill(&supply, w, now, budget)
+		for _, o := range got {
+			budget -= o.typ.CPUs
+		}
+		need = append(need, got...)
+	}
+	groups := make(map[string]*ledger.Hire)
+	var order []string
+	for _, o := range need {
+		shard := n.smallestShard(o.zone, o.typ.Name)
+		if shard == "" {
+			return
+		}
+		key := o.key() + "/" + shard
+		if groups[key] == nil {
+			n.fleet.counter++
+			name := fmt.Sprintf("%s-%d-%d", n.cfg.Node, n.boot.UnixMilli(), n.fleet.counter)
+			groups[key] = &ledger.Hire{Hire: protocol.Hire{Name: name, Type: o.typ.Name, Zone: o.zone, Spot: o.spot}, Shard: shard, Born: now.UnixMilli()}
+			order = append(order, key)
+			// Counted by smallestShard from now on.
+			n.hires[name] = &hire{name: name, rec: *groups[key], busy: true}
+		}
+		g := groups[key]
+		if g.Count < 50 {
+			g.Count++
+			n.hires[g.Name].rec.Count = g.Count
+		}
+	}
+	for _, key := range order {
+		n.recordHire(groups[key])
+	}
+}
+
+// recordHire writes a hire's name down before it is sent.
+func (n *Node) recordHire(rec *ledger.Hire) {
+	name := rec.Name
+	n.log.Info("hiring", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "count", rec.Count, "shard", rec.Shard)
+	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}},
+		[]ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
+			h := n.hires[name]
+			if err != nil {
+				if h != nil && h.stamp == 0 {
+					delete(n.hires, name)
+				}
+				return
+			}
+			n.sendHire(h)
+		})
+}
+
+// retryHires repeats recorded hires without an answer, those of an earlier
+// leader too: the same name rents nothing twice.
+func (n *Node) retryHires(now time.Time) {
+	for _, h := range n.hires {
+		if h.stamp != 0 && !h.busy && now.After(h.next) {
+			n.sendHire(h)
+		}
+	}
+}
+
+func (n *Node) sendHire(h *hire) {
+	if h == nil || h.busy {
+		return
+	}
+	h.busy = true
+	rec, ctx := h.rec, n.ctx
+	go func() {
+		var out protocol.HostNames
+		status := 0
+		err := n.cloud.Wait(ctx)
+		if err == nil {
+			status, err = n.call(ctx, n.cfg.Cloud, "POST", protocol.PathMachines, rec.Hire, &out, 5*time.Second)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		h.next = time.Now().Add(time.Second)
+		switch {
+		case err == nil && status == 200:
+			n.hired(h, out.Hosts)
+		case err == nil && (status == 503 || status == 400):
+			o := rec.Type + "/" + rec.Zone + "/" + strconv.FormatBool(rec.Spot)
+			n.refused[o] = time.Now().Add(n.pol.RefusedPause)
+			n.log.Info("hire refused", "kind", o, "status", status)
+			n.dropHire(h)
+		default:
+			h.busy = false
+		}
+	}()
+}
+
+func (n *Node) dropHire(h *hire) {
+	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.HireKeys + h.name, Stamp: h.stamp}}, []ledger.Op{{Key: ledger.HireKeys + h.name}}, 10*time.Second,
+		func(err error) { h.busy = false })
+}
+
+// hired records the machines of a hire, and then that the hire is over.
+func (n *Node) hired(h *hire, hosts []string) {
+	var conds []ledger.Cond
+	var ops []ledger.Op
+	room := n.cfg.StateLimit.TxnOps - 1
+	if len(hosts) < h.rec.Count {
+		n.refused[h.rec.Type+"/"+h.rec.Zone+"/"+strconv.FormatBool(h.rec.Spot)] = time.Now().Add(n.pol.RefusedPause)
+	}
+	missing := 0
+	for _, host := range hosts {
+		if n.machines[host] != nil {
+			continue
+		}
+		missing++
+		if len(ops) < room {
+			conds = append(conds, ledger.Cond{Key: ledger.MachineKeys + host, Stamp: 0})
+			ops = append(ops, ledger.Op{Key: ledger.MachineKeys + host, Value: &ledger.Machine{Shard: h.rec.Shard, Type: h.rec.Type,
+				Zone: h.rec.Zone, Spot: h.rec.Spot, Born: h.rec.Born}})
+		}
+	}
+	if missing <= room {
+		conds = append(conds, ledger.Cond{Key: ledger.HireKeys + h.name, Stamp: h.stamp})
+		ops = append(ops, ledger.Op{Key: ledger.HireKeys + h.name})
+	}
+	n.commit(ledger.PrioClaim, conds, ops, 10*time.Second, func(err error) {
+		h.busy = false
+		if n.hires[h.name] == h && err == nil {
+			h.busy = true
+			n.hired(h, hosts)
+		}
+	})
+}
+
+// supply is the room of all machines, there or coming, of every shard.
+func (n *Node) supply() []*room {
+	byHost := make(map[string]*room)
+	var out []*room
+	for _, m := range n.machines {
+		t := n.types[m.rec.Type]
+		if m.rec.State != "" || t == nil || m.sick || m.returning || !m.warned.IsZero() {
+			continue
+		}
+		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: *t, cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB}
+		byHost[m.host] = r
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *room) int { return strings.Compare(a.host, b.host) })
+	for _, c := range n.claims {
+		if c.spec == nil {
+			continue
+		}
+		rec := c.rec
+		if rec == nil {
+			rec = c.pend
+		}
+		for _, p := range rec.Open {
+			if r := byHost[p.Host]; r != nil {
+				r.take(c.spec)
+			}
+		}
+	}
+	for _, h := range n.hires {
+		if t := n.types[h.rec.Type]; t != nil {
+			for range h.rec.Count {
+				out = append(out, newRoom(offer{t, h.rec.Zone, h.rec.Spot}))
+			}
+		}
+	}
+	return out
+}
+
+func newRoom(o offer) *room {
+	return &room{typ: o.typ.Name, zone: o.zone, spot: o.spot, total: *o.typ, cpus: o.typ.CPUs, gpus: o.typ.GPUs, mem: o.typ.MemGB}
+}
+
+// wants lists the work without machines, urgent first, and arrays apart: an
+// array may wait a little for running tasks to end.
+func (n *Node) wants(now time.Time) (urgent, arrays []want) {
+	services := 0
+	var service *protocol.Submission
+	for _, j := range n.jobs {
+		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() {
+			continue
+		}
+		spec := j.rec.Spec
+		waiting := 0
+		for i := range j.chunks {
+			u := unit{j: j, c: j.claims[i], chunk: i, spec: spec}
+			waiting += u.waiting()
+			if u.c != nil && u.c.rec != nil && spec.Shape == protocol.Service {
+				services += len(u.c.rec.Open)
+			}
+		}
+		if spec.Shape == protocol.Service {
+			service = spec
+		}
+		if waiting == 0 || now.Before(j.pause) {
+			continue
+		}
+		if t := n.cfg.Teams[spec.Team]; spec.GPUs > 0 && t.GMax > 0 {
+			// No machines for what the team's limit keeps waiting anyway.
+			free := int((t.GMax - n.teamRunning()[spec.Team][1] + eps) / spec.GPUs)
+			waiting = min(waiting, max(0, free))
+		}
+		w := want{spec: spec, count: min(waiting, 2000)}
+		if spec.Shape == protocol.Array {
+			arrays = append(arrays, w)
+		} else {
+			urgent = append(urgent, w)
+		}
+	}
+	byPrio := func(a, b want) int {
+		if a.spec.Prio() != b.spec.Prio() {
+			return b.spec.Prio() - a.spec.Prio()
+		}
+		return strings.Compare(a.spec.Ref, b.spec.Ref)
+	}
+	slices.SortFunc(urgent, byPrio)
+	slices.SortFunc(arrays, byPrio)
+	if service != nil && n.pol.WarmShare > 0 {
+		warm := int(math.Ceil(float64(services)*n.pol.WarmShare)) + 2
+		like := *service
+		like.SameZone, like.Spread, like.Zone = false, false, ""
+		zones := n.cfg.Zones
+		for i, zone := range zones {
+			part := warm / len(zones)
+			if i < warm%len(zones) {
+				part++
+			}
+			urgent = append(urgent, want{spec: &like, count: part, zone: zone})
+		}
+	}
+	return urgent, arrays
+}
+
+// arrayBudget is how many more CPUs the waiting arrays deserve: enough to work
+// off their queue in the time that they may wait.
+func (n *Node) arrayBudget(arrays []want, supply []*room) float64 {
+	work := 0.0
+	for _, w := range arrays {
+		work += float64(w.count) * w.spec.CPUs * max(n.estimate(w.spec).Seconds(), 1)
+	}
+	if work == 0 {
+		return 0
+	}
+	have := 0.0
+	for _, r := range supply {
+		if r.total.GPUs == 0 {
+			have += max(0, r.cpus)
+		}
+	}
+	for _, c := range n.claims {
+		if c.rec != nil && c.spec != nil && c.spec.Shape == protocol.Array {
+			have += float64(len(c.rec.Open)) * c.spec.CPUs
+		}
+	}
+	return max(0, work/n.pol.ArrayWait.Seconds()-have)
+}
+
+// fill puts a want into the supply and returns the machines to hire for what
+// is left, at most about budget CPUs of them.
+func (n *Node) fill(supply *[]*room, w want, now time.Time, budget float64) []offer {
+	var hires []offer
+	used := 0.0
+	zones := newZoneRule(w.spec, nil)
+	for i := 0; i < w.count; i++ {
+		var at *room
+		for _, r := range *supply {
+			if r.fits(w.spec) && allowed(w.spec, r.typ, r.zone, r.spot) && zones.permits(r.zone) && (w.zone == "" || w.zone == r.zone) {
+				at = r
+				break
+			}
+		}
+		if at == nil {
+			o, ok := n.bestOffer(w, w.count-i, &zones, now)
+			if !ok || used >= budget || len(hires) >= 50 {
+				break
+			}
+			used += o.typ.CPUs
+			hires = append(hires, o)
+			at = newRoom(o)
+			*supply = append(*supply, at)
+		}
+		at.take(w.spec)
+		zones.add(w.spec, at.zone)
+	}
+	return hires
+}
+
+// bestOffer is the kind of machine that runs so many tasks at the least cost.
+func (n *Node) bestOffer(w want, count int, zones *zoneRule, now time.Time) (offer, bool) {
+	var best offer
+	bestCost := math.Inf(1)
+	names := make([]string, 0, len(n.types))
+	for name := range n.types {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	byZone := make(map[string]int)
+	for _, m := range n.machines {
+		if m.rec.State == "" {
+			byZone[m.rec.Zone]++
+		}
+	}
+	for _, name := range names {
+		t := n.types[name]
+		if !canEver(w.spec, t) {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{t, zone, spot}
+				if !allowed(w.spec, name, zone, spot) || !zones.permits(zone) || (w.zone != "" && w.zone != zone) || now.Before(n.refused[o.key()]) {
+					continue
+				}
+				fit := perMachine(w.spec, t)
+				cost := o.price() / float64(min(fit, count))
+				cost *= 1 + 0.01*float64(byZone[zone])
+				if cost < bestCost {
+					best, bestCost = o, cost
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+func perMachine(s *protocol.Submission, t *protocol.MachineType) int {
+	fit := math.Inf(1)
+	for _, x := range [][2]float64{{t.CPUs, s.CPUs}, {t.GPUs, s.GPUs}, {t.MemGB, s.MemGB}} {
+		if x[1] > 0 {
+			fit = min(fit, math.Floor((x[0]+eps)/x[1]))
+		}
+	}
+	return max(1, int(min(fit, 1000)))
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,367 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/policy"
+	"madderslip/internal/protocol"
+	"madderslip/internal/transport"
+)
+
+// Ledger is the state service as this package uses it.
+type Ledger interface {
+	Get(ctx context.Context, key string) (ledger.Item, error)
+	List(ctx context.Context) ([]ledger.Item, uint64, error)
+	Watch(ctx context.Context, from uint64, block time.Duration) ([]ledger.Item, uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Extend(ctx context.Context, permit uint64) error
+	Submit(t *ledger.Txn)
+	Share(live int)
+	LastOK() time.Time
+}
+
+// Caller makes HTTP calls to workers and the cloud.
+type Caller interface {
+	Do(ctx context.Context, addr, method, target string, body []byte) (int, []byte, error)
+}
+
+// PeerCaller calls one other controller.
+type PeerCaller interface {
+	Call(ctx context.Context, in, out any) error
+}
+
+// Node is one controller. Its fields are guarded by mu; methods that do not
+// take the lock themselves expect it to be held.
+type Node struct {
+	cfg   protocol.Settings
+	pol   policy.Policy
+	led   Ledger
+	http  Caller
+	peers map[string]PeerCaller
+	log   *slog.Logger
+	rng   *rand.Rand
+	boot  time.Time
+	kick  chan struct{}
+	cloud *rate.Limiter
+
+	mu       sync.Mutex
+	loaded   bool
+	epoch    uint64 // the watch is complete up to here
+	stamps   map[string]uint64
+	nodes    map[string]nodeSeen
+	shards   map[string]*shard
+	machines map[string]*machine
+	jobs     map[string]*job
+	claims   map[string]*claim
+	orphans  map[string]map[string]*claim // claims seen before their job, by ref
+	final    map[string]finalJob
+	teams    map[string]*teamUse
+	hires    map[string]*hire
+	lead     string
+	leadAt   time.Time
+	leadBusy bool
+	unknown  map[string]unknownHost
+	types    map[string]*protocol.MachineType
+
+	leadStamp uint64
+	permit    uint64
+	loads     map[string]loadSeen // by shard
+	queuedNow map[string]float64  // CPUs this node queued at a shard since its last figure
+	stateOKAt map[string]time.Time
+	ratios    map[string]float64 // class: observed run time over the estimate
+	speeds    map[string]float64
+	refused   map[string]time.Time // type/zone/kind: not to be asked for before
+	fleet     fleetState
+	ctx       context.Context
+}
+
+type nodeSeen struct {
+	stamp uint64
+	since time.Time
+}
+
+type loadSeen struct {
+	load protocol.Load
+	at   time.Time
+}
+
+type unknownHost struct {
+	first time.Time
+	busy  bool
+}
+
+// Options are a node's collaborators.
+type Options struct {
+	Settings protocol.Settings
+	Policy   policy.Policy
+	Ledger   Ledger
+	HTTP     Caller
+	Peers    map[string]PeerCaller
+	Log      *slog.Logger
+	Rand     *rand.Rand
+}
+
+// New makes a node; Run starts its loops.
+func New(o Options) *Node {
+	n := &Node{
+		cfg: o.Settings, pol: o.Policy, led: o.Ledger, http: o.HTTP, peers: o.Peers, log: o.Log, rng: o.Rand,
+		boot: time.Now(), kick: make(chan struct{}, 1),
+		cloud:  rate.NewLimiter(rate.Limit(o.Settings.CloudLimit.RPS*0.8/float64(max(1, o.Settings.Nodes))), 3),
+		stamps: make(map[string]uint64), nodes: make(map[string]nodeSeen), shards: make(map[string]*shard),
+		machines: make(map[string]*machine), jobs: make(map[string]*job), claims: make(map[string]*claim),
+		orphans: make(map[string]map[string]*claim), final: make(map[string]finalJob),
+		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost),
+		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
+		ratios: make(map[string]float64), speeds: make(map[string]float64), refused: make(map[string]time.Time),
+		ctx: context.Background(),
+	}
+	n.shard(n.cfg.Node)
+	for _, p := range n.cfg.Peers {
+		n.shard(p.Node)
+	}
+	return n
+}
+
+// Run starts the loops and returns when the context ends.
+func (n *Node) Run(ctx context.Context) {
+	n.mu.Lock()
+	n.ctx = ctx
+	n.mu.Unlock()
+	loops := []func(context.Context){n.watchLoop, n.sessionLoop, n.shardLoop, n.workLoop, n.probeLoop, n.cloudLoop, n.fleetLoop, n.peerLoop}
+	var wg sync.WaitGroup
+	for _, loop := range loops {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+}
+
+// poke asks for a pass over the work soon.
+func (n *Node) poke() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// watchPause spaces watches out: each costs a request of the budget, and
+// urgent news travels between the controllers anyway.
+const watchPause = 90 * time.Millisecond
+
+// watchLoop keeps the cache up to date.
+func (n *Node) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		items, epoch, err := n.led.List(ctx)
+		if err != nil {
+			n.log.Info("cannot read the state service", "err", err)
+			pause(ctx, 500*time.Millisecond)
+			continue
+		}
+		n.mu.Lock()
+		n.relist(items, epoch)
+		n.mu.Unlock()
+		n.log.Info("records read", "records", len(items), "epoch", epoch)
+		for ctx.Err() == nil {
+			items, upTo, err := n.led.Watch(ctx, epoch, 10*time.Second)
+			if errors.Is(err, ledger.ErrTooOld) {
+				n.log.Info("watch fell behind, reading anew")
+				break
+			}
+			if err != nil {
+				n.log.Debug("watch", "err", err)
+				pause(ctx, 300*time.Millisecond)
+				continue
+			}
+			n.mu.Lock()
+			for _, it := range items {
+				n.take(it)
+			}
+			epoch = upTo
+			n.epoch = max(n.epoch, epoch)
+			n.mu.Unlock()
+			n.poke()
+			pause(ctx, watchPause)
+		}
+	}
+}
+
+// relist takes a complete reading. What it lacks was dropped meanwhile.
+func (n *Node) relist(items []ledger.Item, epoch uint64) {
+	have := make(map[string]bool, len(items))
+	for _, it := range items {
+		have[it.Key] = true
+		n.take(it)
+	}
+	var gone []string
+	for key, stamp := range n.stamps {
+		if !have[key] && stamp <= epoch {
+			gone = append(gone, key)
+		}
+	}
+	for _, key := range gone {
+		n.store(key, nil, epoch)
+	}
+	n.epoch = max(n.epoch, epoch)
+	n.loaded = true
+}
+
+// sessionLoop keeps this node's lease and the record that shows it is alive.
+func (n *Node) sessionLoop(ctx context.Context) {
+	ttl := n.pol.NodeLease
+	key := ledger.NodeKeys + n.cfg.Node
+	var permit uint64
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		loaded, live := n.loaded, n.nodes[n.cfg.Node]
+		mine := permit != 0 && live.stamp != 0 && n.permit == permit
+		n.mu.Unlock()
+		if !loaded {
+			pause(ctx, 50*time.Millisecond)
+			continue
+		}
+		if permit == 0 {
+			p, err := n.led.Grant(ctx, ttl)
+			if err != nil {
+				n.log.Info("no lease", "err", err)
+				pause(ctx, 300*time.Millisecond)
+				continue
+			}
+			permit = p
+		}
+		if !mine {
+			wait := make(chan error, 1)
+			n.mu.Lock()
+			n.commit(ledger.PrioLease, nil, []ledger.Op{{Key: key, Value: &ledger.Node{Boot: n.boot.UnixMilli()}, Grant: permit}}, 2*time.Second,
+				func(err error) {
+					if err == nil {
+						n.permit = permit
+					}
+					wait <- err
+				})
+			n.mu.Unlock()
+			if err := <-wait; err != nil {
+				n.log.Info("cannot register", "err", err)
+				if errors.Is(err, ledger.ErrInvalid) {
+					permit = 0 // the lease ended before it was used
+				}
+				pause(ctx, 200*time.Millisecond)
+				continue
+			}
+		}
+		pause(ctx, ttl/3)
+		if err := n.led.Extend(ctx, permit); errors.Is(err, ledger.ErrNoGrant) {
+			n.log.Info("lease ended")
+			permit = 0
+		} else if err != nil {
+			n.log.Debug("lease not extended", "err", err)
+		}
+	}
+}
+
+func (n *Node) storeNode(name string, r *ledger.Node, stamp uint64) {
+	if r == nil {
+		delete(n.nodes, name)
+	} else {
+		seen := n.nodes[name]
+		if seen.stamp == 0 {
+			seen.since = time.Now()
+		}
+		seen.stamp = stamp
+		n.nodes[name] = seen
+	}
+	n.led.Share(len(n.nodes))
+}
+
+// commit submits a transaction. done runs with the lock held, after the cache
+// shows the outcome: the written records, or what the failed keys hold now.
+func (n *Node) commit(prio int, conds []ledger.Cond, ops []ledger.Op, within time.Duration, done func(error)) {
+	t := &ledger.Txn{Conds: conds, Ops: ops, Prio: prio}
+	if within > 0 {
+		t.Deadline = time.Now().Add(within)
+	}
+	t.Done = func(res ledger.Result) {
+		if res.Err != nil {
+			n.refresh(res, ops)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if res.Err == nil {
+			for _, op := range ops {
+				n.store(op.Key, op.Value, res.Epoch)
+			}
+		}
+		done(res.Err)
+		n.poke()
+	}
+	n.led.Submit(t)
+}
+
+// refresh reads the keys on which a transaction failed, since deciding again
+// from the same cache would only fail again.
+func (n *Node) refresh(res ledger.Result, ops []ledger.Op) {
+	keys := slices.Clone(res.Failed)
+	if errors.Is(res.Err, ledger.ErrUnknown) {
+		for _, op := range ops {
+			keys = append(keys, op.Key)
+		}
+	}
+	n.mu.Lock()
+	ctx := n.ctx
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	for _, key := range keys {
+		it, err := n.led.Get(ctx, key)
+		if err != nil {
+			continue
+		}
+		n.mu.Lock()
+		n.take(it)
+		n.mu.Unlock()
+	}
+}
+
+// call makes an HTTP call with a JSON answer.
+func (n *Node) call(ctx context.Context, addr, method, target string, in, out any, timeout time.Duration) (int, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return 0, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	status, resp, err := n.http.Do(ctx, addr, method, target, body)
+	if err != nil {
+		return 0, err
+	}
+	if out != nil && len(resp) > 0 && (status == 200 || status == 409) {
+		if err := json.Unmarshal(resp, out); err != nil {
+			return status, err
+		}
+	}
+	return status, nil
+}
+
+var errNotSent = transport.ErrNotSent
--- /dev/null
+++ b/internal/coordination/peers.go
@@ -0,0 +1,125 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+// peerLoop tells the other controllers this node's load every second.
+func (n *Node) peerLoop(ctx context.Context) {
+	for pause(ctx, time.Second) {
+		n.mu.Lock()
+		msg := n.message()
+		n.mu.Unlock()
+		n.broadcast(ctx, msg)
+	}
+}
+
+func (n *Node) message() protocol.PeerMessage {
+	msg := protocol.PeerMessage{From: n.cfg.Node, StateOK: time.Since(n.led.LastOK()) < 1500*time.Millisecond}
+	for _, name := range n.shardNames() {
+		if s := n.shards[name]; n.active(s) {
+			msg.Loads = append(msg.Loads, n.loadOf(s))
+		}
+	}
+	return msg
+}
+
+func (n *Node) broadcast(ctx context.Context, msg protocol.PeerMessage) {
+	for name, peer := range n.peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
+			defer cancel()
+			var out protocol.PeerMessage
+			if err := peer.Call(ctx, msg, &out); err != nil {
+				n.log.Debug("peer not reached", "peer", name, "err", err)
+			}
+		}()
+	}
+}
+
+// announce passes a record of the cache on to the other controllers.
+func (n *Node) announce(key string) {
+	ref := strings.TrimPrefix(key, ledger.JobKeys)
+	j := n.jobs[ref]
+	if j == nil {
+		return
+	}
+	raw, err := json.Marshal(j.rec)
+	if err != nil {
+		return
+	}
+	msg := protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Fresh: []protocol.KeyNews{{Key: key, Value: raw, Stamp: j.stamp}}}
+	for _, c := range j.claims {
+		// The claim made in the same breath spares the others a vain attempt.
+		if raw, err := json.Marshal(c.rec); err == nil && c.rec != nil && len(j.claims) == 1 {
+			msg.Fresh = append(msg.Fresh, protocol.KeyNews{Key: c.key, Value: raw, Stamp: c.stamp})
+		}
+	}
+	n.broadcast(n.ctx, msg)
+}
+
+// announceFinal passes a finished job on, since its users ask any node.
+func (n *Node) announceFinal(ref string) {
+	f, ok := n.final[ref]
+	if !ok {
+		n.announce(ledger.JobKeys + ref)
+		return
+	}
+	raw, err := json.Marshal(&ledger.Job{State: f.state, Tasks: f.tasks})
+	if err != nil {
+		return
+	}
+	n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true,
+		Fresh: []protocol.KeyNews{{Key: ledger.JobKeys + ref, Value: raw, Stamp: f.stamp}}})
+}
+
+// HandlePeer takes another controller's message.
+func (n *Node) HandlePeer(_ context.Context, in json.RawMessage) (json.RawMessage, error) {
+	var msg protocol.PeerMessage
+	if err := json.Unmarshal(in, &msg); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if msg.StateOK {
+		n.stateOKAt[msg.From] = now
+	}
+	for _, l := range msg.Loads {
+		n.loads[l.Shard] = loadSeen{l, now}
+		n.queuedNow[l.Shard] = 0
+	}
+	if n.loaded {
+		for _, k := range msg.Fresh {
+			if len(k.Value) > 0 && (strings.HasPrefix(k.Key, ledger.JobKeys) || strings.HasPrefix(k.Key, ledger.ClaimKeys)) {
+				n.take(ledger.Item{Key: k.Key, Value: k.Value, Stamp: k.Stamp})
+			}
+		}
+	}
+	return json.RawMessage("{}"), nil
+}
+
+// loadOf is a shard's load now.
+func (n *Node) loadOf(s *shard) protocol.Load {
+	l := protocol.Load{Shard: s.name, Holds: make(map[string]float64)}
+	for _, r := range n.rooms(s, time.Now()) {
+		l.CPUs += r.total.CPUs
+		l.Used += r.total.CPUs - r.cpus
+		if !r.usable {
+			continue
+		}
+		for _, u := range n.machines[r.host].images {
+			l.Holds[u.name] = max(l.Holds[u.name], r.cpus)
+		}
+	}
+	for _, u := range n.queueOf(s, time.Now()) {
+		l.Queued += u.spec.CPUs * float64(u.waiting())
+	}
+	return l
+}
--- /dev/null
+++ b/internal/coordination/place.go
@@ -0,0 +1,250 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// room is what a machine has free, as one pass sees it.
+type room struct {
+	host, typ, zone string
+	spot            bool
+	usable          bool // settled trouble aside: new tasks may go there
+	cpus, gpus, mem float64
+	total           protocol.MachineType
+	images          func(image string) bool
+	// A reservation of EASY backfilling: only what ends by then, or fits
+	// beside the head job, may still start here.
+	shadow       time.Time
+	spareC       float64
+	spareG       float64
+	spareM       float64
+	reservedFor  string
+	ends         []ending
+	victims      []victim
+	recentErrors map[string]bool
+}
+
+// ending is a running task with the time its room is expected back.
+type ending struct {
+	at              time.Time
+	cpus, gpus, mem float64
+}
+
+// victim is a running task that work of higher priority may displace.
+type victim struct {
+	c               *claim
+	task            int
+	prio            int
+	cpus, gpus, mem float64
+	lost            float64 // CPU seconds thrown away
+	beyond          bool    // runs beyond its team's guarantee
+	team            string
+}
+
+const eps = 1e-6
+
+func (r *room) fits(s *protocol.Submission) bool {
+	return r.cpus+eps >= s.CPUs && r.gpus+eps >= s.GPUs && r.mem+eps >= s.MemGB
+}
+
+// allowed tells whether a job's tasks may run on such a machine at all.
+func allowed(s *protocol.Submission, typ, zone string, spot bool) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, typ)) &&
+		(s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
+}
+
+// canEver tells whether a task fits an empty machine of the type.
+func canEver(s *protocol.Submission, t *protocol.MachineType) bool {
+	return t.CPUs+eps >= s.CPUs && t.GPUs+eps >= s.GPUs && t.MemGB+eps >= s.MemGB
+}
+
+func (r *room) take(s *protocol.Submission) {
+	r.cpus -= s.CPUs
+	r.gpus -= s.GPUs
+	r.mem -= s.MemGB
+}
+
+// zoneRule says where the next task of a job may go, given all its tasks that
+// are or may be on machines, earlier attempts included.
+type zoneRule struct {
+	use   map[string]int // the job's tasks by zone
+	limit int            // most of them in one zone; 0: no limit
+	only  string         // the only zone left
+}
+
+func newZoneRule(s *protocol.Submission, zones []string) zoneRule {
+	z := zoneRule{use: make(map[string]int)}
+	for _, zone := range zones {
+		z.add(s, zone)
+	}
+	if s.Spread {
+		z.limit = (s.Tasks + 1) / 2
+	}
+	return z
+}
+
+func (z *zoneRule) add(s *protocol.Submission, zone string) {
+	z.use[zone]++
+	if s.SameZone {
+		z.only = zone
+	}
+}
+
+func (z *zoneRule) permits(zone string) bool {
+	return (z.only == "" || z.only == zone) && (z.limit == 0 || z.use[zone] < z.limit)
+}
+
+// choose is the machine rule: one that holds the image, else the most free
+// room in the job's zone or, for services, in the service's least-used zone.
+// It returns the index of the room, or -1.
+func choose(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, est time.Duration, now time.Time) int {
+	best, bestScore := -1, [4]float64{}
+	for i, r := range rooms {
+		if !r.usable || !r.fits(s) || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.recentErrors[ref] {
+			continue
+		}
+		if r.reservedFor != "" && r.reservedFor != ref && !backfills(s, r, est, now) {
+			continue
+		}
+		score := rank(s, r, z)
+		if best < 0 || less(score, bestScore) {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+func less(a, b [4]float64) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
+
+func rank(s *protocol.Submission, r *room, z *zoneRule) [4]float64 {
+	var score [4]float64
+	// Work without cards leaves machines with free cards to those that need them.
+	if s.GPUs == 0 && r.gpus > 0 {
+		score[0] = 1
+	}
+	holds := r.images(s.Image)
+	if !holds {
+		score[1] = 1
+	}
+	if s.Shape == protocol.Service {
+		score[2] = float64(z.use[r.zone])
+	} else if s.Spot && !r.spot {
+		score[2] = 1
+	}
+	fill := r.cpus / math.Max(1, r.total.CPUs)
+	if holds {
+		score[3] = fill // pack where the image is
+	} else {
+		score[3] = -r.cpus
+	}
+	return score
+}
+
+// backfills tells whether a task may start on a reserved machine without
+// delaying the head job.
+func backfills(s *protocol.Submission, r *room, est time.Duration, now time.Time) bool {
+	if s.Shape != protocol.Service && est > 0 && !now.Add(est).After(r.shadow) {
+		return true
+	}
+	return r.spareC+eps >= s.CPUs && r.spareG+eps >= s.GPUs && r.spareM+eps >= s.MemGB
+}
+
+// reserve gives the head job the machine on which it can start first.
+func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) {
+	best, bestAt := -1, time.Time{}
+	for i, r := range rooms {
+		if !r.usable || r.reservedFor != "" || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || !canEver(s, &r.total) {
+			continue
+		}
+		at, ok := shadowTime(s, r, now)
+		if ok && (best < 0 || at.Before(bestAt)) {
+			best, bestAt = i, at
+		}
+	}
+	if best < 0 {
+		return
+	}
+	r := rooms[best]
+	r.reservedFor, r.shadow = ref, bestAt
+	c, g, m := r.cpus, r.gpus, r.mem
+	for _, e := range r.ends {
+		if !e.at.After(bestAt) {
+			c, g, m = c+e.cpus, g+e.gpus, m+e.mem
+		}
+	}
+	r.spareC, r.spareG, r.spareM = c-s.CPUs, g-s.GPUs, m-s.MemGB
+}
+
+// shadowTime is when a machine's running tasks will have left enough room.
+func shadowTime(s *protocol.Submission, r *room, now time.Time) (time.Time, bool) {
+	slices.SortFunc(r.ends, func(a, b ending) int { return a.at.Compare(b.at) })
+	c, g, m, at := r.cpus, r.gpus, r.mem, now
+	for i := 0; ; i++ {
+		if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
+			return at, true
+		}
+		if i == len(r.ends) {
+			return time.Time{}, false
+		}
+		e := r.ends[i]
+		c, g, m = c+e.cpus, g+e.gpus, m+e.mem
+		at = e.at
+	}
+}
+
+// displace chooses the machine where making room for one task of higher
+// priority throws the least work away, and the tasks to stop there.
+func displace(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, guaranteed bool) (int, []victim) {
+	var best []victim
+	at := -1
+	bestCost := math.Inf(1)
+	for i, r := range rooms {
+		if !r.usable || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.recentErrors[ref] {
+			continue
+		}
+		if !canEver(s, &r.total) || (s.GPUs == 0 && r.total.GPUs > 0 && r.gpus > 0) {
+			continue
+		}
+		slices.SortFunc(r.victims, func(a, b victim) int {
+			if a.prio != b.prio {
+				return a.prio - b.prio
+			}
+			return int(math.Copysign(1, a.lost-b.lost))
+		})
+		c, g, m, cost := r.cpus, r.gpus, r.mem, 0.0
+		var out []victim
+		for _, v := range r.victims {
+			if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
+				break
+			}
+			lower := v.prio < s.Prio()
+			reclaim := guaranteed && v.beyond && v.team != s.Team
+			if !lower && !reclaim {
+				continue
+			}
+			c, g, m, cost = c+v.cpus, g+v.gpus, m+v.mem, cost+v.lost
+			out = append(out, v)
+		}
+		if c+eps < s.CPUs || g+eps < s.GPUs || m+eps < s.MemGB || len(out) == 0 {
+			continue
+		}
+		if !r.images(s.Image) {
+			cost += 1000 // a fetch delays the start
+		}
+		if cost < bestCost {
+			at, best, bestCost = i, out, cost
+		}
+	}
+	return at, best
+}
--- /dev/null
+++ b/internal/coordination/queue.go
@@ -0,0 +1,484 @@
+package coordination
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+// unit is a queued chunk at one shard: unclaimed, or claimed with tasks left.
+type unit struct {
+	j     *job
+	c     *claim
+	chunk int
+	spec  *protocol.Submission
+}
+
+func (u *unit) bounds() (first, count int) {
+	if u.c != nil && u.c.rec != nil {
+		return u.c.rec.First, u.c.rec.Count
+	}
+	first = u.chunk * u.j.size
+	return first, min(u.j.size, u.spec.Tasks-first)
+}
+
+// waiting counts the unit's tasks that have no machine.
+func (u *unit) waiting() int {
+	_, count := u.bounds()
+	if u.c == nil || u.c.rec == nil {
+		return count
+	}
+	return max(0, count-u.c.rec.NumDone()-len(u.c.rec.Open))
+}
+
+// widenAfter is when a job may be taken by shards it was not queued at, since
+// all of its own may be full, or without an owner.
+const widenAfter = 4 * time.Second
+
+// queueOf is a shard's queue: by priority, then first come.
+func (n *Node) queueOf(s *shard, now time.Time) []*unit {
+	var q []*unit
+	for _, j := range n.jobs {
+		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() || now.Before(j.pause) {
+			continue
+		}
+		queued := slices.Contains(j.rec.At, s.name) || now.Sub(j.seen) > widenAfter
+		for i := range j.chunks {
+			c := j.claims[i]
+			if c == nil {
+				c = n.claims[ledger.ClaimKey(j.ref, i)]
+			}
+			switch {
+			case c == nil:
+				if queued && now.Sub(j.lost[i]) > retryClaim {
+					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
+				}
+			case c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && !c.halted:
+				u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec}
+				if u.waiting() > 0 {
+					q = append(q, u)
+				}
+			}
+		}
+	}
+	slices.SortFunc(q, func(a, b *unit) int {
+		if a.spec.Prio() != b.spec.Prio() {
+			return b.spec.Prio() - a.spec.Prio()
+		}
+		if a.j.rec.Born != b.j.rec.Born {
+			if a.j.rec.Born < b.j.rec.Born {
+				return -1
+			}
+			return 1
+		}
+		if a.j != b.j {
+			return strings.Compare(a.j.ref, b.j.ref)
+		}
+		return a.chunk - b.chunk
+	})
+	return q
+}
+
+// rooms is what each machine of a shard has free: everything that is or may
+// be on it counts, recorded or only reported.
+func (n *Node) rooms(s *shard, now time.Time) []*room {
+	byHost := make(map[string]*room)
+	var out []*room
+	for _, m := range n.machines {
+		if m.rec.Shard != s.name || m.rec.State != "" || n.types[m.rec.Type] == nil {
+			continue
+		}
+		t := n.typeOf(m.rec.Type)
+		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t,
+			cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, images: m.holds, recentErrors: nil}
+		r.usable = m.rep != nil && !m.sick && m.warned.IsZero() && !m.returning && m.address() != "" &&
+			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
+		for ref, at := range m.errorJobs {
+			if now.Sub(at) < 30*time.Second {
+				if r.recentErrors == nil {
+					r.recentErrors = make(map[string]bool)
+				}
+				r.recentErrors[ref] = true
+			}
+		}
+		byHost[m.host] = r
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *room) int { return strings.Compare(a.host, b.host) })
+	counted := make(map[string]bool)
+	for _, c := range n.claims {
+		if c.spec == nil {
+			continue
+		}
+		n.charge(c, byHost, counted, now)
+	}
+	for _, r := range out {
+		n.chargeStrays(r, counted)
+	}
+	return out
+}
+
+// charge takes a claim's placements, committed or being committed, out of the
+// free room, and notes when they should end and who might be displaced.
+func (n *Node) charge(c *claim, byHost map[string]*room, counted map[string]bool, now time.Time) {
+	for _, rec := range []*ledger.Claim{c.rec, c.pend} {
+		if rec == nil {
+			continue
+		}
+		for _, p := range rec.Open {
+			r := byHost[p.Host]
+			if r == nil {
+				continue
+			}
+			name := protocol.TaskName(c.ref, p.Task)
+			if counted[p.Host+" "+name] {
+				continue
+			}
+			counted[p.Host+" "+name] = true
+			m := n.machines[p.Host]
+			if t := m.tasks[name]; t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited && c.pend != nil {
+				continue // its end is being committed
+			}
+			r.take(c.spec)
+			n.noteEnding(r, m, c, p, name, now)
+		}
+	}
+}
+
+func (n *Node) noteEnding(r *room, m *machine, c *claim, p ledger.Placement, name string, now time.Time) {
+	began, running := m.running[name]
+	ran := time.Duration(0)
+	if running {
+		ran = now.Sub(began)
+	}
+	if c.spec.Shape != protocol.Service {
+		left := max(n.estimate(c.spec)-ran, time.Second)
+		if _, evicted := c.evict[p.Task]; evicted {
+			left = 300 * time.Millisecond
+		}
+		r.ends = append(r.ends, ending{now.Add(left), c.spec.CPUs, c.spec.GPUs, c.spec.MemGB})
+	}
+	if _, evicted := c.evict[p.Task]; evicted {
+		return
+	}
+	if c.spec.Shape == protocol.Gang && c.spec.Tasks > 1 {
+		return // stopping one task of a gang would end them all
+	}
+	lost := ran.Seconds()
+	if every := c.spec.SnapshotEvery(); every > 0 {
+		lost = min(lost, c.spec.Snapshot().Seconds())
+	}
+	r.victims = append(r.victims, victim{c: c, task: p.Task, prio: c.spec.Prio(), cpus: c.spec.CPUs, gpus: c.spec.GPUs,
+		mem: c.spec.MemGB, lost: lost * max(c.spec.CPUs, 1), team: c.spec.Team,
+		beyond: n.beyondGuarantee(c.spec)})
+}
+
+// beyondGuarantee tells whether a team borrows the kind of resource that a job
+// of its own uses.
+func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
+	t := n.cfg.Teams[spec.Team]
+	if t.CPUs == 0 && t.GPUs == 0 {
+		return false
+	}
+	use := n.teamRunning()[spec.Team]
+	if spec.GPUs > 0 {
+		return use[1] > t.GPUs+eps
+	}
+	return t.CPUs > 0 && use[0] > t.CPUs+eps
+}
+
+// chargeStrays counts tasks that a machine reports but no placement explains.
+func (n *Node) chargeStrays(r *room, counted map[string]bool) {
+	for name, t := range n.machines[r.host].tasks {
+		if t.Phase == protocol.TaskExited || counted[r.host+" "+name] {
+			continue
+		}
+		if spec := n.specOf(name); spec != nil {
+			r.take(spec)
+		} else {
+			r.usable = false // of unknown size; housekeeping is ending it
+		}
+	}
+}
+
+// schedule is one pass over a shard's queue: first come first served within a
+// priority, with EASY backfilling around a reservation for the head job.
+func (n *Node) schedule(s *shard, now time.Time) {
+	q := n.queueOf(s, now)
+	if len(q) == 0 {
+		return
+	}
+	rooms := n.rooms(s, now)
+	blocked := false
+	failedSpecs := make(map[failKey]bool)
+	for _, u := range q {
+		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot}
+		if failedSpecs[key] {
+			continue
+		}
+		placed, short := n.placeUnit(s, u, rooms, now)
+		if !short || placed {
+			continue
+		}
+		failedSpecs[key] = !u.spec.Spread && !u.spec.SameZone && len(u.spec.Types) == 0
+		if n.makeRoom(s, u, rooms, now) {
+			continue
+		}
+		if !blocked {
+			blocked = true
+			z := n.zonesOf(u)
+			reserve(u.spec, u.j.ref, rooms, &z, now)
+		}
+	}
+}
+
+// failKey names what a job asks for, so that a pass need not try the same
+// again for every job alike.
+type failKey struct {
+	cpus, gpus, mem float64
+	image           string
+	prio            int
+	zone            string
+	shape           protocol.Shape
+	spot            bool
+}
+
+func (n *Node) zonesOf(u *unit) zoneRule {
+	var zones []string
+	if u.c != nil && u.c.rec != nil {
+		for _, p := range u.c.rec.Open {
+			if m := n.machines[p.Host]; m != nil {
+				zones = append(zones, m.rec.Zone)
+			}
+		}
+	}
+	return newZoneRule(u.spec, zones)
+}
+
+// placeUnit places as many tasks of a unit as there is room for. short is true
+// when tasks are left for want of room.
+func (n *Node) placeUnit(s *shard, u *unit, rooms []*room, now time.Time) (placed, short bool) {
+	first, count := u.bounds()
+	next := &ledger.Claim{Shard: s.name, First: first, Count: count}
+	if u.c != nil {
+		next = u.c.rec.Clone()
+	}
+	z := n.zonesOf(u)
+	picks := n.pickHosts(u, next, rooms, &z, now)
+	need := u.waiting()
+	whole := u.spec.Shape == protocol.Gang
+	if len(picks) == 0 || (whole && len(picks) < need) {
+		undo(u.spec, picks, rooms)
+		return false, true
+	}
+	// A service that fits elsewhere whole should not be torn to wait here.
+	if u.c == nil && u.spec.Shape == protocol.Service && len(picks) < need && now.Sub(u.j.seen) < time.Second {
+		undo(u.spec, picks, rooms)
+		return false, true
+	}
+	if whole && u.c != nil && len(u.c.rec.Open) > 0 {
+		undo(u.spec, picks, rooms)
+		return false, false // the old attempt has to be gone first
+	}
+	next.Try++
+	for _, pk := range picks {
+		next.Open = append(next.Open, ledger.Placement{Task: pk.task, Try: next.Try, Host: rooms[pk.room].host})
+	}
+	if !n.commitUnit(s, u, next) {
+		undo(u.spec, picks, rooms)
+		return false, false
+	}
+	return true, len(picks) < need
+}
+
+type pick struct{ task, room int }
+
+func undo(s *protocol.Submission, picks []pick, rooms []*room) {
+	for _, pk := range picks {
+		r := rooms[pk.room]
+		r.cpus, r.gpus, r.mem = r.cpus+s.CPUs, r.gpus+s.GPUs, r.mem+s.MemGB
+	}
+}
+
+// pickHosts chooses machines for the tasks of a unit that have none.
+func (n *Node) pickHosts(u *unit, rec *ledger.Claim, rooms []*room, z *zoneRule, now time.Time) []pick {
+	open := make(map[int]bool, len(rec.Open))
+	for _, p := range rec.Open {
+		open[p.Task] = true
+	}
+	est := n.estimate(u.spec)
+	var picks []pick
+	for t := rec.First; t < rec.First+rec.Count && len(open)+len(picks) < maxOpen; t++ {
+		if open[t] || rec.IsDone(t) {
+			continue
+		}
+		i := choose(u.spec, u.j.ref, rooms, z, est, now)
+		if i < 0 {
+			break
+		}
+		rooms[i].take(u.spec)
+		z.add(u.spec, rooms[i].zone)
+		picks = append(picks, pick{t, i})
+	}
+	return picks
+}
+
+// commitUnit commits placements, with the claim itself when it is new.
+func (n *Node) commitUnit(s *shard, u *unit, next *ledger.Claim) bool {
+	if u.c != nil {
+		c := u.c
+		return n.update(s, c, next, ledger.PrioClaim, func(err error) {
+			if j := n.jobs[c.ref]; err == nil && j != nil && n.active(s) && c.rec != nil {
+				n.settleClaim(s, j, c, time.Now())
+			}
+		})
+	}
+	c := &claim{key: ledger.ClaimKey(u.j.ref, u.chunk), ref: u.j.ref, chunk: u.chunk, spec: u.spec}
+	conds, ops, ok := n.prepareClaim(s, c, next)
+	if !ok {
+		return false
+	}
+	conds = append(conds, ledger.Cond{Key: ledger.JobKeys + u.j.ref, Stamp: u.j.stamp})
+	ops = append(ops, ledger.Op{Key: c.key, Value: next})
+	n.commit(ledger.PrioClaim, conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })
+	return true
+}
+
+// prepareClaim enters a new claim into the cache while its commit is under
+// way, so that its room is taken, and gives the conditions on which it depends.
+func (n *Node) prepareClaim(s *shard, c *claim, next *ledger.Claim) ([]ledger.Cond, []ledger.Op, bool) {
+	conds, ops, t, ok := n.reserveTeam(s.name, c, next)
+	if !ok {
+		return nil, nil, false
+	}
+	if t != nil {
+		t.busy = true
+	}
+	c.pend = next
+	n.claims[c.key] = c
+	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: 0})
+	return conds, ops, true
+}
+
+// claimAtOnce prepares the claim of a job that is just being accepted, if this
+// node owns one of its shards and that has room for all that must start
+// together.
+func (n *Node) claimAtOnce(spec *protocol.Submission, at []string, now time.Time) (*claim, *shard, []ledger.Cond) {
+	size := chunkSize(spec, n.pol.ChunkTasks)
+	if size < spec.Tasks || n.limited(spec) {
+		return nil, nil, nil
+	}
+	for _, name := range at {
+		s := n.shards[name]
+		if !n.active(s) || n.claims[ledger.ClaimKey(spec.Ref, 0)] != nil {
+			continue
+		}
+		j := &job{ref: spec.Ref, rec: &ledger.Job{Spec: spec}, chunks: 1, size: size, seen: now}
+		u := &unit{j: j, spec: spec}
+		if n.queuedBefore(s, spec, now) {
+			continue
+		}
+		rooms := n.rooms(s, now)
+		z := newZoneRule(spec, nil)
+		next := &ledger.Claim{Shard: name, Count: spec.Tasks, Try: 1}
+		picks := n.pickHosts(u, next, rooms, &z, now)
+		if len(picks) < spec.Tasks {
+			continue
+		}
+		for _, pk := range picks {
+			next.Open = append(next.Open, ledger.Placement{Task: pk.task, Try: 1, Host: rooms[pk.room].host})
+		}
+		c := &claim{key: ledger.ClaimKey(spec.Ref, 0), ref: spec.Ref, spec: spec}
+		conds, _, ok := n.prepareClaim(s, c, next)
+		if !ok {
+			continue
+		}
+		return c, s, conds
+	}
+	return nil, nil, nil
+}
+
+// queuedBefore tells whether others of at least this priority wait already:
+// a newcomer must not pass them.
+func (n *Node) queuedBefore(s *shard, spec *protocol.Submission, now time.Time) bool {
+	for _, u := range n.queueOf(s, now) {
+		if u.spec.Prio() >= spec.Prio() && u.spec.GPUs >= spec.GPUs {
+			return true
+		}
+	}
+	return false
+}
+
+// displaceGap is how long a job waits for the tasks it displaced to go before
+// it may displace more.
+const displaceGap = 2 * time.Second
+
+// makeRoom displaces work of lower priority for a job that found no room. It
+// returns false when there is nothing, or nothing more, to displace.
+func (n *Node) makeRoom(s *shard, u *unit, rooms []*room, now time.Time) bool {
+	if (u.spec.Shape == protocol.Gang && u.spec.Tasks > 1) || now.Sub(u.j.displaced) < displaceGap {
+		return false
+	}
+	z := n.zonesOf(u)
+	found := false
+	for range min(u.waiting(), 16) {
+		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.withinGuarantee(u.spec))
+		if len(victims) == 0 {
+			break
+		}
+		found = true
+		u.j.displaced = now
+		r := rooms[at]
+		for _, v := range victims {
+			if v.c.evict == nil {
+				v.c.evict = make(map[int]time.Time)
+			}
+			v.c.evict[v.task] = now
+			r.cpus, r.gpus, r.mem = r.cpus+v.cpus, r.gpus+v.gpus, r.mem+v.mem
+			n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
+		}
+		// The room is spoken for in this pass.
+		r.take(u.spec)
+		z.add(u.spec, r.zone)
+		r.reservedFor, r.shadow = u.j.ref, now
+		r.victims = slices.DeleteFunc(r.victims, func(x victim) bool {
+			return slices.ContainsFunc(victims, func(v victim) bool { return v.c == x.c && v.task == x.task })
+		})
+		for _, v := range victims {
+			if j := n.jobs[v.c.ref]; j != nil && v.c.pend == nil && v.c.rec != nil {
+				n.settleClaim(s, j, v.c, now)
+			}
+		}
+	}
+	return found
+}
+
+// withinGuarantee tells whether a job fits its team's guarantee beside what
+// the team runs now.
+func (n *Node) withinGuarantee(spec *protocol.Submission) bool {
+	t := n.cfg.Teams[spec.Team]
+	if t.CPUs == 0 && t.GPUs == 0 {
+		return false
+	}
+	use := n.teamRunning()[spec.Team]
+	return (spec.GPUs == 0 || use[1]+spec.GPUs*float64(spec.Tasks) <= t.GPUs+eps) &&
+		(t.CPUs == 0 || use[0]+spec.CPUs*float64(spec.Tasks) <= t.CPUs+eps) && (spec.GPUs == 0 || t.GPUs > 0)
+}
+
+// teamRunning is what each team's placements take: CPUs and GPUs.
+func (n *Node) teamRunning() map[string][2]float64 {
+	use := make(map[string][2]float64)
+	for _, c := range n.claims {
+		if c.rec == nil || c.spec == nil {
+			continue
+		}
+		u := use[c.spec.Team]
+		u[0] += float64(len(c.rec.Open)) * c.spec.CPUs
+		u[1] += float64(len(c.rec.Open)) * c.spec.GPUs
+		use[c.spec.Team] = u
+	}
+	return use
+}
--- /dev/null
+++ b/internal/coordination/settle.go
@@ -0,0 +1,501 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+const (
+	passGap    = 15 * time.Millisecond // passes are at least this far apart
+	passEvery  = 500 * time.Millisecond
+	resendGap  = 700 * time.Millisecond
+	retryClaim = time.Second
+	maxOpen    = 200 // placements in one claim, to stay within a value
+)
+
+// workLoop compares placements with reports and the queue with the room there
+// is, whenever something changed and a few times a second.
+func (n *Node) workLoop(ctx context.Context) {
+	tick := time.NewTicker(passEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.kick:
+		case <-tick.C:
+		}
+		n.mu.Lock()
+		if n.loaded {
+			n.pass(time.Now())
+		}
+		n.mu.Unlock()
+		if !pause(ctx, passGap) {
+			return
+		}
+	}
+}
+
+func (n *Node) pass(now time.Time) {
+	for _, name := range n.shardNames() {
+		s := n.shards[name]
+		if !n.active(s) {
+			continue
+		}
+		n.settle(s, now)
+		n.schedule(s, now)
+	}
+	for ref, set := range n.orphans {
+		n.lookUp(ref, set, now)
+	}
+}
+
+// lookUp reads the job of claims whose job this node has forgotten or not
+// seen: a cancelled job can be passed on ahead of its claim.
+func (n *Node) lookUp(ref string, set map[string]*claim, now time.Time) {
+	for _, c := range set {
+		if !c.again.Before(now) {
+			return
+		}
+		c.again = now.Add(time.Second)
+	}
+	ctx := n.ctx
+	key := ledger.JobKeys + ref
+	go func() {
+		it, err := n.led.Get(ctx, key)
+		if err != nil || it.Value == nil {
+			return
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.hasClaims(ref) && n.jobs[ref] == nil {
+			delete(n.final, ref)
+			delete(n.stamps, key)
+			n.take(it)
+		}
+	}()
+}
+
+// settle works through the claims of a shard: what has ended is booked, what
+// should run is started, what should not is stopped.
+func (n *Node) settle(s *shard, now time.Time) {
+	for _, key := range n.claimKeys(s.name) {
+		c := n.claims[key]
+		if c == nil || c.rec == nil || c.pend != nil || now.Before(c.again) {
+			continue
+		}
+		j := n.jobs[c.ref]
+		if j == nil || c.spec == nil {
+			continue
+		}
+		n.settleClaim(s, j, c, now)
+	}
+}
+
+func (n *Node) claimKeys(shard string) []string {
+	var keys []string
+	for key, c := range n.claims {
+		if c.rec != nil && c.rec.Shard == shard {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// fate is what has become of a placement.
+type fate int
+
+const (
+	onMachine fate = iota // it is, or may be, on its machine
+	completed
+	gone
+)
+
+func (n *Node) settleClaim(s *shard, j *job, c *claim, now time.Time) {
+	next := c.rec.Clone()
+	next.Open = next.Open[:0]
+	changed := false
+	for _, p := range c.rec.Open {
+		switch n.judge(s, j, c, p, now) {
+		case completed:
+			next.SetDone(p.Task)
+			delete(c.evict, p.Task)
+			changed = true
+		case gone:
+			delete(c.evict, p.Task)
+			changed = true
+			if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 1 {
+				c.halted = true
+			}
+		default:
+			next.Open = append(next.Open, p)
+		}
+	}
+	if c.spec.Shape == protocol.Gang && next.NumDone() > 0 && !next.Full() {
+		// A gang completes together: if one task is done, every one is.
+		for t := next.First; t < next.First+next.Count; t++ {
+			next.SetDone(t)
+		}
+		changed = true
+	}
+	if len(next.Open) == 0 {
+		c.halted = false
+	}
+	if next.Full() && c.spec.Shape != protocol.Service && !j.rec.Final() && n.finishJob(s, j, c, next) {
+		return
+	}
+	if j.rec.Final() && len(next.Open) == 0 {
+		n.dropClaim(s, c)
+		return
+	}
+	if changed {
+		n.update(s, c, next, ledger.PrioDone, nil)
+	}
+}
+
+// judge decides a placement's fate from proof alone: the worker's own account
+// under the current token with no command outstanding, or a machine that the
+// cloud has taken back. Silence proves nothing.
+func (n *Node) judge(s *shard, j *job, c *claim, p ledger.Placement, now time.Time) fate {
+	m := n.machines[p.Host]
+	if m == nil {
+		return onMachine
+	}
+	if m.rec.State == ledger.Gone {
+		return gone
+	}
+	if m.rep == nil {
+		return onMachine
+	}
+	name := protocol.TaskName(c.ref, p.Task)
+	t := m.tasks[name]
+	grace, stop := n.wantStop(c, &p, now)
+	switch {
+	case t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited:
+		if t.Cause == protocol.CauseDone {
+			n.learn(c.spec, m, name, now)
+			return completed
+		}
+		if !m.settled(s) {
+			return onMachine
+		}
+		if m.outstanding(name, p.Try) {
+			s.raise = true
+			return onMachine
+		}
+		n.blame(j, m, t, now)
+		return gone
+	case t != nil && t.Try == p.Try:
+		if stop && now.Sub(m.stopped[name]) > resendGap && (t.Phase != protocol.TaskSaving || grace == 0) {
+			m.stopped[name] = now
+			n.order(s, m, protocol.Stop(name, p.Try, grace))
+		}
+		n.enforceCancel(s, j, m, now)
+		return onMachine
+	case t != nil: // another attempt of it is still there
+		return onMachine
+	case !m.settled(s):
+		n.enforceCancel(s, j, m, now)
+		return onMachine
+	case stop:
+		if m.outstanding(name, p.Try) {
+			s.raise = true
+			n.enforceCancel(s, j, m, now)
+			return onMachine
+		}
+		return gone // it never started, and now never will
+	}
+	// Committed but not there: started by no one, or lost with the worker's
+	// session. The same attempt may start again, for nothing else can hold it.
+	if !slices.ContainsFunc(m.queue, isStart(name)) && !slices.ContainsFunc(m.inflight, isStart(name)) &&
+		now.Sub(m.tried[name]) > resendGap && m.rec.State == "" {
+		m.tried[name] = now
+		n.order(s, m, protocol.Start(name, p.Try))
+	}
+	return onMachine
+}
+
+func isStart(name string) func(protocol.Command) bool {
+	return func(c protocol.Command) bool { return c.Verb == "start" && c.Task == name }
+}
+
+// enforceCancel fences a machine that keeps a cancelled job's task for long:
+// the rules allow no task beyond the limit, whatever holds the stop back.
+func (n *Node) enforceCancel(s *shard, j *job, m *machine, now time.Time) {
+	if j.rec.State == protocol.Cancelled && !j.ended.IsZero() && now.Sub(j.ended) > n.cfg.Workers.Cancel*2/5 && !m.returning {
+		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref)
+		n.returnMachine(s, m)
+	}
+}
+
+// wantStop tells whether a placement should end, and with what grace.
+func (n *Node) wantStop(c *claim, p *ledger.Placement, now time.Time) (time.Duration, bool) {
+	j := n.jobs[c.ref]
+	if j == nil || j.rec == nil || c.spec == nil {
+		return 0, false
+	}
+	if j.rec.Final() {
+		return 0, true
+	}
+	grace := time.Duration(0)
+	if c.spec.SnapshotEvery() > 0 {
+		grace = c.spec.Snapshot() + 2*time.Second
+	}
+	if c.halted {
+		return grace, true
+	}
+	since, ok := c.evict[p.Task]
+	if !ok {
+		return 0, false
+	}
+	if now.Sub(since) > grace+10*time.Second {
+		grace = 0
+	}
+	return grace, true
+}
+
+// blame notes a task's failure. A machine on which tasks of several jobs fail
+// is taken out of use; a job that fails on several machines is the job's own
+// fault, retried with growing pauses, and condemns none.
+func (n *Node) blame(j *job, m *machine, t *protocol.TaskReport, now time.Time) {
+	n.log.Debug("task ended", "task", t.Task, "try", t.Try, "host", m.host, "cause", t.Cause)
+	switch t.Cause {
+	case protocol.CauseNoRoom, protocol.CauseBusy:
+		m.denied = now.Add(2 * time.Second)
+	case protocol.CauseNoSuch:
+		j.pause = now.Add(2 * time.Second)
+	case protocol.CauseError:
+		if j.failed == nil {
+			j.failed = make(map[string]bool)
+		}
+		j.failed[m.host] = true
+		if k := len(j.failed); k > 1 {
+			j.pause = now.Add(time.Second << min(k, 6))
+		}
+		m.errorJobs[j.ref] = now
+		own := 0
+		for ref := range m.errorJobs {
+			if other := n.jobs[ref]; other == nil || len(other.failed) < 3 {
+				own++
+			}
+		}
+		if own >= 2 && !m.sick {
+			m.sick = true
+			n.log.Info("machine fails tasks of several jobs, taken out of use", "host", m.host)
+		}
+	}
+}
+
+// learn corrects the estimates of a class by an observed run time.
+func (n *Node) learn(spec *protocol.Submission, m *machine, task string, now time.Time) {
+	began, ok := m.running[task]
+	if !ok || spec.ExpectS <= 0 {
+		return
+	}
+	delete(m.running, task)
+	clear(m.errorJobs)
+	ratio := min(max(now.Sub(began).Seconds()/spec.ExpectS, 0.1), 10)
+	if old, ok := n.ratios[spec.Class]; ok {
+		ratio = old*0.9 + ratio*0.1
+	}
+	n.ratios[spec.Class] = ratio
+}
+
+// estimate is a task's expected run time, the image fetch left out.
+func (n *Node) estimate(s *protocol.Submission) time.Duration {
+	ratio := 1.0
+	if r, ok := n.ratios[s.Class]; ok {
+		ratio = r
+	}
+	return time.Duration(float64(s.Expect()) * ratio)
+}
+
+// limited tells whether a job's team has a limit that its tasks count against.
+func (n *Node) limited(s *protocol.Submission) bool {
+	t := n.cfg.Teams[s.Team]
+	return (t.CPUsMax > 0 && s.CPUs > 0) || (t.GMax > 0 && s.GPUs > 0)
+}
+
+// reserveTeam makes the condition and the change by which a limited team's use
+// of a shard goes along with a claim. ok is false when it can't be done now.
+func (n *Node) reserveTeam(shard string, c *claim, next *ledger.Claim) (conds []ledger.Cond, ops []ledger.Op, t *teamUse, ok bool) {
+	if !n.limited(c.spec) {
+		return nil, nil, nil, true
+	}
+	t = n.team(c.spec.Team)
+	if t.busy {
+		return nil, nil, nil, false
+	}
+	use := [2]float64{float64(len(next.Open)) * c.spec.CPUs, float64(len(next.Open)) * c.spec.GPUs}
+	for _, other := range n.claims {
+		if other == c || other.spec == nil || other.spec.Team != c.spec.Team {
+			continue
+		}
+		rec := other.rec
+		if rec == nil {
+			rec = other.pend
+		}
+		if rec == nil || rec.Shard != shard {
+			continue
+		}
+		use[0] += float64(len(rec.Open)) * other.spec.CPUs
+		use[1] += float64(len(rec.Open)) * other.spec.GPUs
+	}
+	key := ledger.TeamKeys + c.spec.Team
+	rec := &ledger.Team{Use: map[string][2]float64{shard: use}}
+	total := use
+	for name, u := range t.rec.Use {
+		if name != shard {
+			rec.Use[name] = u
+			total[0] += u[0]
+			total[1] += u[1]
+		}
+	}
+	limit := n.cfg.Teams[c.spec.Team]
+	before := 0
+	if c.rec != nil {
+		before = len(c.rec.Open)
+	}
+	if len(next.Open) > before && ((limit.CPUsMax > 0 && total[0] > limit.CPUsMax+eps) || (limit.GMax > 0 && total[1] > limit.GMax+eps)) {
+		return nil, nil, nil, false
+	}
+	return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op{{Key: key, Value: rec}}, t, true
+}
+
+// update commits a new version of a claim that this shard holds.
+func (n *Node) update(s *shard, c *claim, next *ledger.Claim, prio int, then func(error)) bool {
+	conds, ops, t, ok := n.reserveTeam(s.name, c, next)
+	if !ok {
+		return false
+	}
+	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: c.stamp})
+	if j := n.jobs[c.ref]; j != nil && len(next.Open) > 0 && prio == ledger.PrioClaim {
+		conds = append(conds, ledger.Cond{Key: ledger.JobKeys + c.ref, Stamp: j.stamp})
+	}
+	ops = append(ops, ledger.Op{Key: c.key, Value: next})
+	c.pend = next
+	if t != nil {
+		t.busy = true
+	}
+	n.commit(prio, conds, ops, 0, func(err error) {
+		if t != nil {
+			t.busy = false
+		}
+		c.pend = nil
+		if err != nil {
+			c.again = time.Now().Add(150 * time.Millisecond)
+			n.log.Debug("claim not updated", "claim", c.key, "err", err)
+		}
+		if then != nil {
+			then(err)
+		}
+	})
+	return true
+}
+
+// finishJob commits a job's end together with its last chunk's.
+func (n *Node) finishJob(s *shard, j *job, c *claim, next *ledger.Claim) bool {
+	if len(j.claims) != j.chunks {
+		return false
+	}
+	conds := []ledger.Cond{{Key: ledger.JobKeys + j.ref, Stamp: j.stamp}, {Key: ledger.ShardKeys + s.name, Stamp: s.token}}
+	for i := range j.chunks {
+		o := j.claims[i]
+		if o == nil || o.rec == nil || (o != c && (!o.rec.Full() || o.pend != nil)) {
+			return false
+		}
+		conds = append(conds, ledger.Cond{Key: o.key, Stamp: o.stamp})
+	}
+	done := &ledger.Job{State: protocol.Done, Tasks: j.rec.Spec.Tasks}
+	tconds, ops, t, ok := n.reserveTeam(s.name, c, next)
+	if !ok {
+		return false
+	}
+	conds = append(conds, tconds...)
+	if len(next.Open) > 0 || j.chunks > 1 {
+		// The description is needed until the last placement is cleared.
+		done.Spec = j.rec.Spec
+	}
+	ops = append(ops, ledger.Op{Key: ledger.JobKeys + j.ref, Value: done})
+	if len(next.Open) > 0 {
+		ops = append(ops, ledger.Op{Key: c.key, Value: next})
+	} else {
+		ops = append(ops, ledger.Op{Key: c.key})
+	}
+	c.pend = next
+	if t != nil {
+		t.busy = true
+	}
+	n.commit(ledger.PrioDone, conds, ops, 0, func(err error) {
+		c.pend = nil
+		if t != nil {
+			t.busy = false
+		}
+		if err != nil {
+			c.again = time.Now().Add(150 * time.Millisecond)
+			return
+		}
+		n.announceFinal(j.ref)
+	})
+	return true
+}
+
+// dropClaim removes the claim of a final job once nothing of it is left.
+func (n *Node) dropClaim(s *shard, c *claim) {
+	empty := c.rec.Clone()
+	empty.Open = nil
+	conds, ops, t, ok := n.reserveTeam(s.name, c, empty)
+	if !ok {
+		return
+	}
+	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: c.stamp})
+	ops = append(ops, ledger.Op{Key: c.key})
+	c.pend = empty
+	if t != nil {
+		t.busy = true
+	}
+	n.commit(ledger.PrioDone, conds, ops, 0, func(err error) {
+		c.pend = nil
+		if t != nil {
+			t.busy = false
+		}
+		if err != nil {
+			c.again = time.Now().Add(200 * time.Millisecond)
+		}
+	})
+}
+
+// finishClaim ends the commit of a new claim: its tasks start at once, or,
+// when another shard won it, the copy is dropped.
+func (n *Node) finishClaim(s *shard, c *claim, err error) {
+	c.pend = nil
+	if t := n.teams[c.spec.Team]; t != nil && n.limited(c.spec) {
+		t.busy = false
+	}
+	if err != nil {
+		if c.rec == nil && n.claims[c.key] == c {
+			n.unlinkClaim(c)
+		}
+		if j := n.jobs[c.ref]; j != nil {
+			j.lost[c.chunk] = time.Now()
+		}
+		if !errors.Is(err, ledger.ErrConflict) {
+			n.log.Debug("claim not made", "claim", c.key, "err", err)
+		}
+		return
+	}
+	j := n.jobs[c.ref]
+	if j == nil || c.rec == nil || !n.active(s) {
+		return
+	}
+	if j.claims[c.chunk] == nil {
+		n.attach(j, c)
+	}
+	n.settleClaim(s, j, c, time.Now())
+}
--- /dev/null
+++ b/internal/coordination/shards.go
@@ -0,0 +1,228 @@
+package coordination
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"madderslip/internal/ledger"
+)
+
+// shard is a set of machines with one owner at a time. token is the revision
+// at which this process acquired it, or 0 when it does not own it.
+type shard struct {
+	name   string
+	rec    *ledger.Shard
+	stamp  uint64
+	token  uint64
+	since  time.Time // when this process acquired it
+	busy   bool
+	raise  bool // a new token is wanted, to void commands of unknown fate
+	raised time.Time
+}
+
+func (n *Node) shard(name string) *shard {
+	s := n.shards[name]
+	if s == nil {
+		s = &shard{name: name}
+		n.shards[name] = s
+	}
+	return s
+}
+
+func (n *Node) storeShard(name string, r *ledger.Shard, stamp uint64) {
+	s := n.shard(name)
+	s.rec, s.stamp = r, stamp
+	switch {
+	case r == nil || r.Owner != n.cfg.Node:
+		if s.token != 0 {
+			n.log.Info("shard lost", "shard", name)
+		}
+		s.token = 0
+	case !n.loaded:
+		// An earlier process of this node may have commands on their way
+		// under this very token, so it is acquired anew before use.
+		s.token = 0
+	default:
+		if s.token == 0 {
+			s.since = time.Now()
+			for _, m := range n.machines {
+				if m.rec.Shard == name {
+					m.adoptedAt = s.since
+				}
+			}
+		}
+		s.token, s.raise = stamp, false
+		n.log.Info("shard acquired", "shard", name, "token", stamp)
+		n.pushToken(s)
+	}
+}
+
+// active tells whether this process may act for a shard: it owns it, and its
+// cache holds everything that earlier owners committed.
+func (n *Node) active(s *shard) bool {
+	return s != nil && s.token != 0 && n.epoch >= s.token
+}
+
+// pushToken shows a new token to the shard's machines at once, rather than
+// with their next reports.
+func (n *Node) pushToken(s *shard) {
+	for _, m := range n.machines {
+		if m.rec.Shard == s.name && m.rec.State == "" && m.rep != nil && m.address() != "" {
+			n.send(s, m)
+		}
+	}
+}
+
+// liveNodes are the controllers whose lease holds, in order.
+func (n *Node) liveNodes() []string {
+	names := make([]string, 0, len(n.nodes))
+	for name := range n.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// shardLoop works off the difference between who should own each shard and
+// who does.
+func (n *Node) shardLoop(ctx context.Context) {
+	for pause(ctx, 200*time.Millisecond) {
+		n.mu.Lock()
+		if n.loaded && n.permit != 0 {
+			now := time.Now()
+			for _, s := range n.shards {
+				if !s.busy {
+					n.tendShard(s, now)
+				}
+			}
+			n.tendLead(now)
+		}
+		n.mu.Unlock()
+	}
+}
+
+func (n *Node) tendShard(s *shard, now time.Time) {
+	me := n.cfg.Node
+	self, alive := n.nodes[me]
+	if !alive {
+		return
+	}
+	home, homeLive := n.nodes[s.name]
+	switch {
+	case s.rec == nil:
+		// Never owned. Its home takes it; another only if the home stays away.
+		if s.name == me || (!homeLive && now.Sub(self.since) > 2*n.pol.NodeLease) {
+			n.writeShard(s, me, nil)
+		}
+	case s.rec.Owner == me && s.token == 0:
+		n.writeShard(s, me, nil)
+	case s.rec.Owner == me && s.raise && now.Sub(s.raised) > 3*time.Second:
+		s.raised = now
+		n.log.Info("raising the token", "shard", s.name)
+		n.writeShard(s, me, nil)
+	case s.rec.Owner == me && s.name != me && homeLive && now.UnixMilli() > s.rec.Away && now.Sub(home.since) > n.pol.Handback && now.Sub(s.since) > 2*time.Second:
+		n.log.Info("handing the shard back", "shard", s.name)
+		n.writeShard(s, s.name, []ledger.Cond{{Key: ledger.NodeKeys + s.name, Stamp: home.stamp}})
+	case s.rec.Owner == me && n.cutOff(s, now):
+		if to := n.otherLive(); to != "" {
+			n.log.Info("most machines are silent here, giving the shard away", "shard", s.name, "to", to)
+			n.giveAway(s, to, now)
+		}
+	case s.rec.Owner != me:
+		if _, ownerLive := n.nodes[s.rec.Owner]; !ownerLive {
+			// The home node, if it lives, has the first turn.
+			if homeLive && s.name != me && now.Sub(home.since) < 2*time.Second {
+				return
+			}
+			n.log.Info("taking over", "shard", s.name, "from", s.rec.Owner)
+			n.writeShard(s, me, []ledger.Cond{{Key: ledger.NodeKeys + s.rec.Owner, Stamp: 0}})
+		}
+	}
+}
+
+// writeShard changes a shard's owner, or renews it for a new token.
+func (n *Node) writeShard(s *shard, owner string, extra []ledger.Cond) {
+	next := &ledger.Shard{Owner: owner}
+	if s.rec != nil {
+		next.Epoch, next.Away = s.rec.Epoch+1, s.rec.Away
+	}
+	n.putShard(s, next, extra)
+}
+
+// giveAway hands a shard to a node that may reach its machines, for a while.
+func (n *Node) giveAway(s *shard, to string, now time.Time) {
+	next := &ledger.Shard{Owner: to, Epoch: s.rec.Epoch + 1, Away: now.Add(time.Minute).UnixMilli()}
+	n.putShard(s, next, []ledger.Cond{{Key: ledger.NodeKeys + to, Stamp: n.nodes[to].stamp}})
+}
+
+func (n *Node) putShard(s *shard, next *ledger.Shard, extra []ledger.Cond) {
+	conds := append([]ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.stamp}}, extra...)
+	s.busy = true
+	if next.Owner != n.cfg.Node {
+		s.token = 0 // stop commanding before another may begin
+	}
+	n.commit(ledger.PrioLease, conds, []ledger.Op{{Key: ledger.ShardKeys + s.name, Value: next}}, 3*time.Second, func(err error) {
+		s.busy = false
+		if err != nil {
+			n.log.Debug("shard not changed", "shard", s.name, "err", err)
+		}
+	})
+}
+
+func (n *Node) otherLive() string {
+	for _, name := range n.liveNodes() {
+		if name != n.cfg.Node {
+			return name
+		}
+	}
+	return ""
+}
+
+// cutOff tells that nearly all of a shard's machines went silent together,
+// which speaks for a fault of this node's own links. Giving the shard to a
+// node that may reach them keeps their leases alive. Only a shard's home does
+// so: to the next owner the silence means what it seems to.
+func (n *Node) cutOff(s *shard, now time.Time) bool {
+	if s.name != n.cfg.Node || now.Sub(s.since) < 3*n.pol.Fence || n.otherLive() == "" {
+		return false
+	}
+	silent, total := n.silentShare(s, now)
+	return total >= 3 && silent*10 >= total*8
+}
+
+func (n *Node) silentShare(s *shard, now time.Time) (silent, total int) {
+	for _, m := range n.machines {
+		if m.rec.Shard == s.name && m.rec.State == "" && m.rep != nil {
+			total++
+			if n.silence(m, now) > n.pol.Suspect {
+				silent++
+			}
+		}
+	}
+	return silent, total
+}
+
+// tendLead seeks the lead when nobody has it. The record hangs on the node's
+// lease, so it goes when its holder does.
+func (n *Node) tendLead(now time.Time) {
+	if n.leadStamp != 0 || n.leadBusy {
+		return
+	}
+	n.leadBusy = true
+	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: 0}},
+		[]ledger.Op{{Key: ledger.LeaderKey, Value: &ledger.Leader{Node: n.cfg.Node}, Grant: n.permit}}, 2*time.Second,
+		func(err error) {
+			n.leadBusy = false
+			if err == nil {
+				n.leadAt = now
+				n.log.Info("leading")
+			}
+		})
+}
+
+// leading tells whether this process leads. A record left by an earlier
+// process of this node does not count: it goes with that process's lease.
+func (n *Node) leading() bool {
+	return n.lead == n.cfg.Node && n.leadStamp != 0 && !n.leadAt.IsZero() && n.permit != 0
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,370 @@
+package coordination
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+	"madderslip/internal/transport"
+)
+
+// Users wait 5 s for submissions and 2 s for polls; answers come before that.
+const (
+	submitWithin = 4 * time.Second
+	pollWithin   = 1700 * time.Millisecond
+	maxWaiting   = 600 // user requests waiting for the state service at once
+)
+
+// Handle answers a request of the public address.
+func (n *Node) Handle(method, target string, body []byte, reply func(transport.Response)) {
+	route, id := protocol.Match(method, target)
+	switch route {
+	case protocol.Submit:
+		n.handleSubmit(body, reply)
+	case protocol.Query:
+		n.handleQuery(id, reply)
+	case protocol.Abort:
+		n.handleAbort(id, reply)
+	case protocol.WorkerReport:
+		n.handleReport(body, reply)
+	case protocol.Ready:
+		n.handleReady(reply)
+	case protocol.WrongMethod:
+		reply(transport.Response{Status: 405, Body: []byte(`{"error":"wrong method"}`)})
+	default:
+		reply(transport.Response{Status: 404, Body: []byte(`{"error":"no such path"}`)})
+	}
+}
+
+func badRequest(err error) transport.Response {
+	b, _ := json.Marshal(map[string]string{"error": err.Error()})
+	return transport.Response{Status: 400, Body: b}
+}
+
+func jobResponse(status int, a protocol.JobAnswer) transport.Response {
+	b, _ := json.Marshal(a)
+	return transport.Response{Status: status, Body: b}
+}
+
+var notFound = transport.Response{Status: 404, Body: []byte(`{"error":"no such job"}`)}
+
+// handleReady: a node is ready once it has read the records. It turns unready
+// when it alone is refused by the state service, so that users go where they
+// are served; in an outage that all share, turning away would help nobody, and
+// finished jobs are still answered.
+func (n *Node) handleReady(reply func(transport.Response)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	ok := n.loaded && len(n.types) > 0
+	if ok && now.Sub(n.led.LastOK()) > 4*time.Second {
+		for _, at := range n.stateOKAt {
+			if now.Sub(at) < 3*time.Second {
+				ok = false
+			}
+		}
+	}
+	if !ok {
+		reply(unavailable(1))
+		return
+	}
+	reply(transport.Response{Status: 200, Body: []byte("{}")})
+}
+
+// answerOf is what the cache says of a job; known is false if it says nothing.
+func (n *Node) answerOf(ref string) (a protocol.JobAnswer, stamp uint64, final, known bool) {
+	a.Ref, a.Phase = ref, protocol.Pending
+	if f, ok := n.final[ref]; ok {
+		a.Phase = f.state
+		if f.state == protocol.Done {
+			a.Done = f.tasks
+		}
+		return a, f.stamp, true, true
+	}
+	j := n.jobs[ref]
+	if j == nil || j.rec == nil {
+		return a, 0, false, false
+	}
+	a.Done, a.Running = j.counts()
+	switch {
+	case j.rec.Final():
+		a.Phase, a.Running = j.rec.State, 0
+		if j.rec.State == protocol.Done {
+			a.Done = j.rec.Tasks
+		}
+	case a.Running > 0:
+		a.Phase = protocol.Running
+	}
+	return a, j.stamp, j.rec.Final(), true
+}
+
+// confirm answers a question about a job. A final state never changes, so the
+// cache suffices; anything else is confirmed by the state service, since
+// another node may have told this user something newer. absent is the answer
+// for a job that was never accepted.
+func (n *Node) confirm(ref string, within time.Duration, absent func(), reply func(transport.Response)) {
+	a, stamp, final, known := n.answerOf(ref)
+	if final {
+		reply(jobResponse(200, a))
+		return
+	}
+	if !n.loaded {
+		reply(unavailable(1))
+		return
+	}
+	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
+		switch {
+		case err == nil && !known:
+			absent()
+		case err == nil:
+			// Counts may have moved on meanwhile; the phase is at least as new.
+			now, _, _, _ := n.answerOf(ref)
+			reply(jobResponse(200, now))
+		case errors.Is(err, ledger.ErrConflict):
+			// The cache has been refreshed from the state service just now.
+			now, newer, _, found := n.answerOf(ref)
+			if !found || newer == stamp {
+				reply(unavailable(1))
+				return
+			}
+			reply(jobResponse(200, now))
+		default:
+			reply(unavailable(1))
+		}
+	})
+}
+
+func (n *Node) handleQuery(ref string, reply func(transport.Response)) {
+	if !protocol.ValidRef(ref) {
+		reply(notFound)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.confirm(ref, pollWithin, func() { reply(notFound) }, reply)
+}
+
+func (n *Node) handleSubmit(body []byte, reply func(transport.Response)) {
+	ref, err := protocol.RefOf(body)
+	if err != nil {
+		reply(badRequest(err))
+		return
+	}
+	spec, err := protocol.ParseSubmission(body)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, _, _, known := n.answerOf(ref)
+	if known {
+		n.confirm(ref, submitWithin, func() { reply(unavailable(1)) }, reply)
+		return
+	}
+	if err != nil {
+		// Unless another node accepted a job of this id.
+		n.confirm(ref, submitWithin, func() { reply(badRequest(err)) }, reply)
+		return
+	}
+	if !n.loaded || len(n.types) == 0 {
+		reply(unavailable(1))
+		return
+	}
+	if reason := n.cannotRun(spec); reason != "" {
+		b, _ := json.Marshal(map[string]string{"error": reason})
+		n.confirm(ref, submitWithin, func() { reply(transport.Response{Status: 422, Body: b}) }, reply)
+		return
+	}
+	n.accept(spec, reply)
+}
+
+// cannotRun tells why a job can never run, or "".
+func (n *Node) cannotRun(s *protocol.Submission) string {
+	team, ok := n.cfg.Teams[s.Team]
+	if !ok {
+		return "unknown team"
+	}
+	fits := false
+	for _, t := range n.types {
+		if !canEver(s, t) {
+			continue
+		}
+		for _, zone := range t.Zones {
+			if allowed(s, t.Name, zone, false) {
+				fits = true
+			}
+		}
+	}
+	if !fits {
+		return "no allowed machine type has room for a task"
+	}
+	count := float64(s.Tasks)
+	if s.Shape == protocol.Array {
+		count = 1
+	}
+	if (team.CPUsMax > 0 && s.CPUs*count > team.CPUsMax+eps) || (team.GMax > 0 && s.GPUs*count > team.GMax+eps) {
+		return "more than the team's limit"
+	}
+	return ""
+}
+
+// accept records a job. If this node owns one of the shards chosen for it and
+// there is room, the claim goes into the same transaction and the start
+// follows at once.
+func (n *Node) accept(spec *protocol.Submission, reply func(transport.Response)) {
+	now := time.Now()
+	at := n.chooseShards(spec, now)
+	rec := &ledger.Job{Spec: spec, At: at, Born: now.UnixMilli()}
+	key := ledger.JobKeys + spec.Ref
+	conds := []ledger.Cond{{Key: key, Stamp: 0}}
+	ops := []ledger.Op{{Key: key, Value: rec}}
+	c, s, extra := n.claimAtOnce(spec, at, now)
+	if c != nil {
+		conds = append(conds, extra...)
+		ops = append(ops, ledger.Op{Key: c.key, Value: c.pend})
+	}
+	for _, name := range at {
+		n.queuedNow[name] += spec.CPUs * float64(spec.Tasks)
+	}
+	n.commit(ledger.PrioUser, conds, ops, submitWithin, func(err error) {
+		if c != nil {
+			n.finishClaim(s, c, err)
+		}
+		switch {
+		case err == nil:
+			reply(jobResponse(201, protocol.JobAnswer{Ref: spec.Ref, Phase: protocol.Pending}))
+			n.announce(key)
+		case errors.Is(err, ledger.ErrConflict):
+			if a, _, final, known := n.answerOf(spec.Ref); known {
+				if final {
+					reply(jobResponse(200, a))
+				} else {
+					n.confirm(spec.Ref, submitWithin/2, func() { reply(unavailable(1)) }, reply)
+				}
+				return
+			}
+			if c != nil {
+				n.acceptPlain(key, rec, reply) // only the claim failed
+				return
+			}
+			reply(unavailable(1))
+		default:
+			reply(unavailable(1))
+		}
+	})
+}
+
+func (n *Node) acceptPlain(key string, rec *ledger.Job, reply func(transport.Response)) {
+	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: 0}}, []ledger.Op{{Key: key, Value: rec}}, submitWithin/2, func(err error) {
+		if err != nil {
+			reply(unavailable(1))
+			return
+		}
+		reply(jobResponse(201, protocol.JobAnswer{Ref: rec.Spec.Ref, Phase: protocol.Pending}))
+		n.announce(key)
+	})
+}
+
+// handleAbort commits a cancellation before it is told.
+func (n *Node) handleAbort(ref string, reply func(transport.Response)) {
+	if !protocol.ValidRef(ref) {
+		reply(notFound)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.abort(ref, time.Now().Add(submitWithin), reply)
+}
+
+func (n *Node) abort(ref string, until time.Time, reply func(transport.Response)) {
+	a, stamp, final, known := n.answerOf(ref)
+	left := time.Until(until)
+	switch {
+	case final:
+		reply(jobResponse(200, a))
+		return
+	case !n.loaded || left < 200*time.Millisecond:
+		reply(unavailable(1))
+		return
+	case !known:
+		n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: 0}}, nil, left, func(err error) {
+			if err == nil {
+				reply(notFound)
+			} else if _, _, _, found := n.answerOf(ref); found {
+				n.abort(ref, until, reply)
+			} else {
+				reply(unavailable(1))
+			}
+		})
+		return
+	}
+	rec := *n.jobs[ref].rec
+	rec.State, rec.Tasks = protocol.Cancelled, rec.Spec.Tasks
+	key := ledger.JobKeys + ref
+	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: stamp}}, []ledger.Op{{Key: key, Value: &rec}}, left, func(err error) {
+		switch {
+		case err == nil:
+			n.announce(key)
+			reply(jobResponse(200, protocol.JobAnswer{Ref: ref, Phase: protocol.Cancelled}))
+		case errors.Is(err, ledger.ErrConflict):
+			if _, newer, _, _ := n.answerOf(ref); newer != stamp {
+				n.abort(ref, until, reply)
+				return
+			}
+			reply(unavailable(1))
+		default:
+			reply(unavailable(1))
+		}
+	})
+}
+
+// chooseShards picks the K least-loaded shards for a job. A shard counts as
+// loaded by what runs, what waits there, and what this node has queued there
+// since the shard's latest figure, so that a burst spreads. A shard with room
+// on a machine that holds the image goes first, this node's own before others.
+func (n *Node) chooseShards(s *protocol.Submission, now time.Time) []string {
+	type scored struct {
+		name  string
+		score float64
+	}
+	var all []scored
+	for _, name := range n.shardNames() {
+		sh := n.shards[name]
+		if sh.rec == nil {
+			continue
+		}
+		l, ok := n.loads[name]
+		if n.active(sh) {
+			l, ok = loadSeen{n.loadOf(sh), now}, true
+		}
+		score := 0.5 // unknown or stale: neither sought nor shunned
+		if ok && now.Sub(l.at) < 5*time.Second {
+			total := max(l.load.CPUs, 1)
+			score = (l.load.Used + l.load.Queued + n.queuedNow[name]) / total
+			if l.load.Holds[s.Image]+eps >= s.CPUs {
+				score -= 1
+			}
+		}
+		if n.active(sh) {
+			score -= 0.05
+		}
+		if _, live := n.nodes[sh.rec.Owner]; !live {
+			score += 10
+		}
+		all = append(all, scored{name, score})
+	}
+	slices.SortStableFunc(all, func(a, b scored) int {
+		switch {
+		case a.score < b.score:
+			return -1
+		case a.score > b.score:
+			return 1
+		}
+		return 0
+	})
+	var at []string
+	for _, x := range all[:min(len(all), n.pol.Copies)] {
+		at = append(at, x.name)
+	}
+	return at
+}
--- /dev/null
+++ b/internal/coordination/view.go
@@ -0,0 +1,289 @@
+// Package coordination decides: who owns which shard, which job starts where,
+// how many machines there should be. Each loop compares the wanted state with
+// what is and works off the difference, so that a lost or repeated step is
+// simply seen again. Everything remembered here is a cache of the ledger.
+package coordination
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+// job is an accepted job that is open, or final with claims left to clear.
+type job struct {
+	ref       string
+	rec       *ledger.Job
+	stamp     uint64
+	chunks    int
+	size      int // tasks in a chunk
+	claims    map[int]*claim
+	seen      time.Time         // when this node first saw it
+	ended     time.Time         // when this node saw it final
+	failed    map[string]bool   // hosts on which its tasks failed
+	pause     time.Time         // no start before this, after failures
+	lost      map[int]time.Time // chunks whose claim was lost to another shard just now
+	displaced time.Time         // when it last displaced others
+}
+
+// claim is a claimed chunk; pend is the version being committed, if any.
+type claim struct {
+	key    string
+	ref    string
+	chunk  int
+	rec    *ledger.Claim // nil while the first version is being committed
+	stamp  uint64
+	pend   *ledger.Claim
+	spec   *protocol.Submission
+	evict  map[int]time.Time // tasks to be stopped, and since when
+	again  time.Time         // earliest next commit after a conflict
+	halted bool              // gang: the attempt is being ended
+}
+
+type teamUse struct {
+	rec   ledger.Team
+	stamp uint64
+	busy  bool
+}
+
+type hire struct {
+	name  string
+	rec   ledger.Hire
+	stamp uint64
+	busy  bool
+	next  time.Time
+}
+
+// store takes a record of the ledger into the cache. Older versions than the
+// cached one are ignored: watch, own commits and reads arrive in any order.
+func (n *Node) store(key string, rec any, stamp uint64) {
+	if stamp <= n.stamps[key] {
+		return
+	}
+	n.stamps[key] = stamp
+	switch {
+	case strings.HasPrefix(key, ledger.JobKeys):
+		r, _ := rec.(*ledger.Job)
+		n.storeJob(strings.TrimPrefix(key, ledger.JobKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.ClaimKeys):
+		r, _ := rec.(*ledger.Claim)
+		n.storeClaim(key, r, stamp)
+	case strings.HasPrefix(key, ledger.MachineKeys):
+		r, _ := rec.(*ledger.Machine)
+		n.storeMachine(strings.TrimPrefix(key, ledger.MachineKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.ShardKeys):
+		r, _ := rec.(*ledger.Shard)
+		n.storeShard(strings.TrimPrefix(key, ledger.ShardKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.NodeKeys):
+		r, _ := rec.(*ledger.Node)
+		n.storeNode(strings.TrimPrefix(key, ledger.NodeKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.TeamKeys):
+		if r, ok := rec.(*ledger.Team); ok && r != nil {
+			t := n.team(strings.TrimPrefix(key, ledger.TeamKeys))
+			t.rec, t.stamp = *r, stamp
+		}
+	case strings.HasPrefix(key, ledger.HireKeys):
+		name := strings.TrimPrefix(key, ledger.HireKeys)
+		if r, _ := rec.(*ledger.Hire); r == nil {
+			delete(n.hires, name)
+		} else {
+			n.hires[name] = &hire{name: name, rec: *r, stamp: stamp}
+		}
+	case key == ledger.LeaderKey:
+		if r, _ := rec.(*ledger.Leader); r == nil {
+			n.lead, n.leadStamp = "", 0
+		} else {
+			n.lead, n.leadStamp = r.Node, stamp
+		}
+	}
+	n.poke()
+}
+
+// take decodes an item of the ledger and stores it.
+func (n *Node) take(it ledger.Item) {
+	if it.Stamp <= n.stamps[it.Key] {
+		return
+	}
+	var rec any
+	if it.Value != nil {
+		rec = blank(it.Key)
+		if rec == nil {
+			return
+		}
+		if err := json.Unmarshal(it.Value, rec); err != nil {
+			n.log.Error("record unreadable", "key", it.Key, "err", err)
+			return
+		}
+	}
+	n.store(it.Key, rec, it.Stamp)
+}
+
+func blank(key string) any {
+	switch {
+	case strings.HasPrefix(key, ledger.JobKeys):
+		return new(ledger.Job)
+	case strings.HasPrefix(key, ledger.ClaimKeys):
+		return new(ledger.Claim)
+	case strings.HasPrefix(key, ledger.MachineKeys):
+		return new(ledger.Machine)
+	case strings.HasPrefix(key, ledger.ShardKeys):
+		return new(ledger.Shard)
+	case strings.HasPrefix(key, ledger.NodeKeys):
+		return new(ledger.Node)
+	case strings.HasPrefix(key, ledger.TeamKeys):
+		return new(ledger.Team)
+	case strings.HasPrefix(key, ledger.HireKeys):
+		return new(ledger.Hire)
+	case key == ledger.LeaderKey:
+		return new(ledger.Leader)
+	}
+	return nil
+}
+
+func (n *Node) storeJob(ref string, r *ledger.Job, stamp uint64) {
+	j := n.jobs[ref]
+	if r == nil {
+		return // job records are kept for ever
+	}
+	if j == nil {
+		if r.Final() && !n.hasClaims(ref) {
+			n.remember(ref, r, stamp)
+			return
+		}
+		j = &job{ref: ref, claims: make(map[int]*claim), seen: time.Now(), lost: make(map[int]time.Time)}
+		n.jobs[ref] = j
+	}
+	if r.Spec == nil && j.rec != nil && j.rec.Spec != nil {
+		c := *r
+		c.Spec = j.rec.Spec
+		r = &c
+	}
+	j.rec, j.stamp = r, stamp
+	if r.Final() && j.ended.IsZero() {
+		j.ended = time.Now()
+	}
+	if r.Spec != nil {
+		j.size = chunkSize(r.Spec, n.pol.ChunkTasks)
+		j.chunks = (r.Spec.Tasks + j.size - 1) / j.size
+	}
+	for key, c := range n.orphans[ref] {
+		n.attach(j, c)
+		delete(n.orphans[ref], key)
+	}
+	delete(n.orphans, ref)
+	for _, c := range j.claims {
+		c.spec = r.Spec
+	}
+	n.forgetIfOver(j)
+}
+
+func (n *Node) hasClaims(ref string) bool { return len(n.orphans[ref]) > 0 }
+
+func (n *Node) attach(j *job, c *claim) {
+	j.claims[c.chunk] = c
+	c.spec = j.rec.Spec
+}
+
+// remember keeps only a small entry of a final job.
+func (n *Node) remember(ref string, r *ledger.Job, stamp uint64) {
+	if len(n.final) >= finalCache {
+		for old := range n.final {
+			delete(n.final, old)
+			delete(n.stamps, ledger.JobKeys+old)
+			break
+		}
+	}
+	n.final[ref] = finalJob{state: r.State, tasks: r.Tasks, stamp: stamp}
+}
+
+// finalCache bounds the finished jobs answered from memory; older ones are
+// read from the state service.
+const finalCache = 200_000
+
+type finalJob struct {
+	state string
+	tasks int
+	stamp uint64
+}
+
+func (n *Node) forgetIfOver(j *job) {
+	if j.rec.Final() && len(j.claims) == 0 {
+		delete(n.jobs, j.ref)
+		n.remember(j.ref, j.rec, j.stamp)
+	}
+}
+
+func (n *Node) storeClaim(key string, r *ledger.Claim, stamp uint64) {
+	ref, chunk, err := ledger.SplitClaimKey(key)
+	if err != nil {
+		return
+	}
+	j := n.jobs[ref]
+	c := n.claims[key]
+	if r == nil {
+		if c != nil {
+			n.unlinkClaim(c)
+		}
+		return
+	}
+	if c == nil {
+		c = &claim{key: key, ref: ref, chunk: chunk}
+		n.claims[key] = c
+		if j != nil {
+			n.attach(j, c)
+		} else {
+			if n.orphans[ref] == nil {
+				n.orphans[ref] = make(map[string]*claim)
+			}
+			n.orphans[ref][key] = c
+		}
+	}
+	c.rec, c.stamp = r, stamp
+}
+
+func (n *Node) unlinkClaim(c *claim) {
+	delete(n.claims, c.key)
+	delete(n.orphans[c.ref], c.key)
+	if j := n.jobs[c.ref]; j != nil {
+		delete(j.claims, c.chunk)
+		if j.rec != nil {
+			n.forgetIfOver(j)
+		}
+	}
+}
+
+func (n *Node) team(name string) *teamUse {
+	t := n.teams[name]
+	if t == nil {
+		t = &teamUse{}
+		n.teams[name] = t
+	}
+	return t
+}
+
+// chunkSize is how many tasks of a job are claimed together. Gangs, services
+// and jobs whose tasks depend on one another's zones are claimed whole, so
+// that one record decides where their tasks may go. The number of chunks is
+// bounded, since finishing a job compares them all.
+func chunkSize(s *protocol.Submission, usual int) int {
+	const maxChunks = 24
+	if s.Shape != protocol.Array || s.SameZone || s.Spread {
+		return s.Tasks
+	}
+	size := max(usual, (s.Tasks+maxChunks-1)/maxChunks)
+	return min(size, s.Tasks)
+}
+
+// counts tells how many tasks of a job are done and running, for display.
+func (j *job) counts() (done, running int) {
+	for _, c := range j.claims {
+		if c.rec != nil {
+			done += c.rec.NumDone()
+			running += len(c.rec.Open)
+		}
+	}
+	return done, running
+}
--- /dev/null
+++ b/internal/ledger/commit.go
@@ -0,0 +1,320 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// Cond requires a key to have a version; 0: that it does not exist.
+type Cond struct {
+	Key   string
+	Stamp uint64
+}
+
+// Op sets a key, or drops it when Value is nil.
+type Op struct {
+	Key   string
+	Value any
+	Grant uint64
+}
+
+// Priorities of transactions under scarcity, the first most urgent.
+const (
+	PrioLease = iota
+	PrioUser
+	PrioClaim
+	PrioDone
+	PrioRest
+)
+
+// Txn is one small transaction. Several are sent together; a failed condition
+// of one does not sink its neighbours. Each must be conditional on versions
+// that make it harmless when it is applied late or twice.
+type Txn struct {
+	Conds    []Cond
+	Ops      []Op
+	Prio     int
+	Deadline time.Time
+	Done     func(Result)
+
+	raw    []wireOp
+	size   int
+	alone  bool // was part of a batch refused as malformed
+	unsure bool // an earlier sending got no answer
+}
+
+// Result tells what became of a transaction. After ErrConflict or ErrUnknown
+// the caller reads the keys again and decides anew.
+type Result struct {
+	Err    error
+	Epoch  uint64
+	Failed []string
+}
+
+type wireOp struct {
+	Set    string          `json:"set,omitempty"`
+	Drop   string          `json:"drop,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Permit uint64          `json:"permit,omitempty"`
+}
+
+const (
+	gatherFor   = 4 * time.Millisecond
+	txnTimeout  = 2 * time.Second
+	maxInflight = 4
+	batchBytes  = 60 << 10
+)
+
+// Submit queues a transaction. Done is called once, from another goroutine.
+func (c *Client) Submit(t *Txn) {
+	for _, op := range t.Ops {
+		w := wireOp{}
+		if op.Value == nil {
+			w.Drop = root + op.Key
+		} else {
+			raw, err := json.Marshal(op.Value)
+			if err != nil || len(raw) > c.lim.ValueBytes {
+				c.log.Error("record cannot be written", "key", op.Key, "bytes", len(raw), "err", err)
+				go t.Done(Result{Err: ErrInvalid})
+				return
+			}
+			w.Set, w.Value, w.Permit = root+op.Key, raw, op.Grant
+		}
+		t.size += len(w.Value) + len(op.Key) + 48
+		t.raw = append(t.raw, w)
+	}
+	for _, cond := range t.Conds {
+		t.size += len(cond.Key) + 48
+	}
+	c.mu.Lock()
+	c.pending = append(c.pending, t)
+	c.mu.Unlock()
+	c.poke()
+}
+
+func (c *Client) poke() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends queued transactions until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.kick:
+		case <-tick.C:
+		}
+		c.expire(time.Now())
+		for c.ready() {
+			time.Sleep(gatherFor)
+			if c.reqs.Wait(ctx) != nil {
+				return
+			}
+			batch, ops := c.pick()
+			if len(batch) == 0 {
+				break
+			}
+			if ops > 0 && c.writes.WaitN(ctx, ops) != nil {
+				return
+			}
+			go c.send(ctx, batch)
+		}
+	}
+}
+
+func (c *Client) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0 && c.inflight < maxInflight
+}
+
+// expire ends transactions whose caller no longer waits.
+func (c *Client) expire(now time.Time) {
+	c.mu.Lock()
+	var late []*Txn
+	c.pending = slices.DeleteFunc(c.pending, func(t *Txn) bool {
+		if !t.Deadline.IsZero() && now.After(t.Deadline) {
+			late = append(late, t)
+			return true
+		}
+		return false
+	})
+	c.mu.Unlock()
+	for _, t := range late {
+		err := ErrRefused
+		if t.unsure {
+			err = ErrUnknown
+		}
+		go t.Done(Result{Err: err}) // it may read keys, which must not hold up the others
+	}
+}
+
+// pick takes the most urgent transactions that fit one request together.
+// Comparisons alone travel apart from writes: they fail often.
+func (c *Client) pick() ([]*Txn, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 {
+		return nil, 0
+	}
+	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return a.Prio - b.Prio })
+	var batch, rest []*Txn
+	ops, size := 0, 0
+	conds := make(map[string]uint64)
+	written := make(map[string]bool)
+	reads := len(c.pending[0].Ops) == 0
+	for _, t := range c.pending {
+		if !c.fits(t, batch, reads, ops, size, conds, written) {
+			rest = append(rest, t)
+			continue
+		}
+		batch = append(batch, t)
+		ops += len(t.Ops)
+		size += t.size
+		for _, cond := range t.Conds {
+			conds[cond.Key] = cond.Stamp
+		}
+		for _, op := range t.Ops {
+			written[op.Key] = true
+		}
+	}
+	c.pending = rest
+	c.inflight++
+	return batch, ops
+}
+
+func (c *Client) fits(t *Txn, batch []*Txn, reads bool, ops, size int, conds map[string]uint64, written map[string]bool) bool {
+	if len(batch) == 0 {
+		return true
+	}
+	if t.alone || batch[0].alone || (len(t.Ops) == 0) != reads {
+		return false
+	}
+	if ops+len(t.Ops) > c.lim.TxnOps || size+t.size > batchBytes {
+		return false
+	}
+	extra := 0
+	for _, cond := range t.Conds {
+		if stamp, ok := conds[cond.Key]; !ok {
+			extra++
+		} else if stamp != cond.Stamp {
+			return false
+		}
+	}
+	if len(conds)+extra > 4*c.lim.TxnOps {
+		return false
+	}
+	for _, op := range t.Ops {
+		if written[op.Key] {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Client) send(ctx context.Context, batch []*Txn) {
+	type wireCond struct {
+		Key   string `json:"key"`
+		Stamp uint64 `json:"stamp"`
+	}
+	body := struct {
+		If     []wireCond `json:"if"`
+		Writes []wireOp   `json:"writes"`
+	}{[]wireCond{}, []wireOp{}}
+	seen := make(map[string]bool)
+	for _, t := range batch {
+		for _, cond := range t.Conds {
+			if !seen[cond.Key] {
+				seen[cond.Key] = true
+				body.If = append(body.If, wireCond{root + cond.Key, cond.Stamp})
+			}
+		}
+		body.Writes = append(body.Writes, t.raw...)
+	}
+	var out struct {
+		Epoch  uint64   `json:"epoch"`
+		Failed []string `json:"failed"`
+	}
+	status, err := c.call(ctx, "POST", protocol.PathMulti, body, &out, txnTimeout)
+	c.settle(batch, status, out.Epoch, out.Failed, err)
+	c.mu.Lock()
+	c.inflight--
+	c.mu.Unlock()
+	c.poke()
+}
+
+// settle gives each transaction of a batch its result or sends it again.
+func (c *Client) settle(batch []*Txn, status int, epoch uint64, failed []string, err error) {
+	var again []*Txn
+	pause := time.Duration(0)
+	switch {
+	case err != nil && status == 0:
+		// It may have been applied, or be applied later. Sent once more it
+		// either succeeds or conflicts with what is there, and both are clear.
+		c.log.Debug("transaction without an answer", "n", len(batch), "err", err)
+		for _, t := range batch {
+			t.unsure = true
+		}
+		again, pause = batch, 100*time.Millisecond
+	case status == 200:
+		for _, t := range batch {
+			t.Done(Result{Epoch: epoch})
+		}
+	case status == 409:
+		again = c.sortFailed(batch, failed, epoch)
+	case status == 400:
+		if len(batch) == 1 {
+			c.log.Error("transaction refused as malformed", "ops", len(batch[0].Ops))
+			batch[0].Done(Result{Err: ErrInvalid})
+			break
+		}
+		for _, t := range batch {
+			t.alone = true
+		}
+		again = batch
+	case status == 429:
+		again, pause = batch, 60*time.Millisecond
+	default:
+		again, pause = batch, 200*time.Millisecond
+	}
+	if len(again) == 0 {
+		return
+	}
+	if pause > 0 {
+		time.Sleep(pause)
+	}
+	c.mu.Lock()
+	c.pending = append(again, c.pending...)
+	c.mu.Unlock()
+}
+
+func (c *Client) sortFailed(batch []*Txn, failed []string, epoch uint64) (again []*Txn) {
+	for _, t := range batch {
+		var mine []string
+		for _, cond := range t.Conds {
+			if slices.Contains(failed, root+cond.Key) {
+				mine = append(mine, cond.Key)
+			}
+		}
+		switch {
+		case len(mine) > 0:
+			t.Done(Result{Err: ErrConflict, Epoch: epoch, Failed: mine})
+		case len(batch) == 1:
+			t.Done(Result{Err: errors.Join(ErrConflict, errors.New("no failed key named")), Epoch: epoch})
+		default:
+			again = append(again, t)
+		}
+	}
+	return again
+}
--- /dev/null
+++ b/internal/ledger/records.go
@@ -0,0 +1,172 @@
+// Package ledger keeps the books: the client of the state service with its
+// budgets, group commit and watch, and the records written there. The state
+// service holds all truth; whatever a process has in memory is a cache of it.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"madderslip/internal/protocol"
+)
+
+// Kinds of keys, each a prefix below the root.
+const (
+	NodeKeys    = "n/" // n/<node>: a live controller, attached to its lease
+	ShardKeys   = "s/" // s/<shard>: the shard's owner; its revision is the token
+	MachineKeys = "m/" // m/<host>: a rented machine and the shard it is in for life
+	JobKeys     = "j/" // j/<ref>: an accepted job and, in the end, its final state
+	ClaimKeys   = "c/" // c/<ref>/<chunk>: a claimed chunk, its placements and completions
+	TeamKeys    = "t/" // t/<team>: what a limited team has reserved, by shard
+	HireKeys    = "h/" // h/<name>: a rental that may have been sent
+	LeaderKey   = "lead"
+)
+
+// Shard is the ownership of one shard of machines. The revision of its latest
+// change is the token that workers obey, so tokens only rise.
+type Shard struct {
+	Owner string `json:"o"`
+	Epoch int    `json:"e"`           // counts changes, so that every change is one
+	Away  int64  `json:"w,omitempty"` // Unix milliseconds until which it is not handed back: its home gave it away
+}
+
+// Node marks a live controller.
+type Node struct {
+	Boot int64 `json:"b"`
+}
+
+// Machine is a rented machine.
+type Machine struct {
+	Shard string `json:"h"`
+	Type  string `json:"t"`
+	Zone  string `json:"z"`
+	Spot  bool   `json:"s,omitempty"`
+	Addr  string `json:"a,omitempty"`
+	State string `json:"x,omitempty"` // "", Returning or Gone
+	Born  int64  `json:"b,omitempty"` // Unix milliseconds of the rental, for boot patience only
+}
+
+// States of a machine. Both are final: such a machine is given nothing more.
+const (
+	Returning = "r"
+	Gone      = "g"
+)
+
+// Job is an accepted job. Its description goes once the state is final.
+type Job struct {
+	Spec  *protocol.Submission `json:"d,omitempty"`
+	At    []string             `json:"q,omitempty"` // the K shards it queues at
+	Born  int64                `json:"b,omitempty"` // Unix milliseconds of acceptance, for order and advice only
+	State string               `json:"x,omitempty"` // "", protocol.Done or protocol.Cancelled
+	Tasks int                  `json:"n,omitempty"` // of a final job
+}
+
+// Final tells whether nothing can change any more.
+func (j *Job) Final() bool { return j.State != "" }
+
+// Placement is a task that is, or may be, on a machine.
+type Placement struct {
+	Task int
+	Try  uint64
+	Host string
+}
+
+// MarshalJSON keeps placements short: many must fit one value.
+func (p Placement) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{p.Task, p.Try, p.Host})
+}
+
+// UnmarshalJSON undoes MarshalJSON.
+func (p *Placement) UnmarshalJSON(b []byte) error {
+	var raw [3]json.RawMessage
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(raw[0], &p.Task); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(raw[1], &p.Try); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw[2], &p.Host)
+}
+
+// Claim is a chunk of a job held by one shard: the conditional claim of the
+// design. First is its first task, Count their number; Done is a bitmap.
+type Claim struct {
+	Shard string      `json:"h"`
+	First int         `json:"f,omitempty"`
+	Count int         `json:"n"`
+	Done  []byte      `json:"d,omitempty"`
+	Open  []Placement `json:"o,omitempty"`
+	Try   uint64      `json:"a,omitempty"` // the highest attempt given out
+}
+
+// IsDone tells whether a task of the chunk is done.
+func (c *Claim) IsDone(task int) bool {
+	i := task - c.First
+	return i >= 0 && i/8 < len(c.Done) && c.Done[i/8]&(1<<(i%8)) != 0
+}
+
+// SetDone marks a task of the chunk done.
+func (c *Claim) SetDone(task int) {
+	i := task - c.First
+	for len(c.Done) <= i/8 {
+		c.Done = append(c.Done, 0)
+	}
+	c.Done[i/8] |= 1 << (i % 8)
+}
+
+// NumDone counts the tasks that are done.
+func (c *Claim) NumDone() int {
+	n := 0
+	for t := c.First; t < c.First+c.Count; t++ {
+		if c.IsDone(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// Full tells whether every task is done.
+func (c *Claim) Full() bool { return c.NumDone() == c.Count }
+
+// Clone copies a claim so that it can be changed.
+func (c *Claim) Clone() *Claim {
+	d := *c
+	d.Done = append([]byte(nil), c.Done...)
+	d.Open = append([]Placement(nil), c.Open...)
+	return &d
+}
+
+// Team is what a limited team has reserved: CPUs and GPUs by shard.
+type Team struct {
+	Use map[string][2]float64 `json:"u"`
+}
+
+// Hire is a rental that was recorded before it was sent.
+type Hire struct {
+	protocol.Hire
+	Shard string `json:"z"`
+	Born  int64  `json:"b"`
+}
+
+// Leader names the controller that hires and gathers.
+type Leader struct {
+	Node string `json:"o"`
+}
+
+// ClaimKey is the key of a job's chunk.
+func ClaimKey(ref string, chunk int) string { return ClaimKeys + ref + "/" + strconv.Itoa(chunk) }
+
+// SplitClaimKey undoes ClaimKey.
+func SplitClaimKey(key string) (ref string, chunk int, err error) {
+	ref, num, ok := strings.Cut(strings.TrimPrefix(key, ClaimKeys), "/")
+	if !ok {
+		return "", 0, fmt.Errorf("claim key %q", key)
+	}
+	chunk, err = strconv.Atoi(num)
+	return ref, chunk, err
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,120 @@
+// Package policy holds the operators' own settings: expressions that are
+// type-checked when they are loaded, with built-in defaults. The language is
+// expr-lang's; the checker's errors carry the line and column in the file.
+package policy
+
+import (
+	_ "embed"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/expr-lang/expr"
+
+	"madderslip/internal/protocol"
+)
+
+//go:embed default.policy
+var defaults string
+
+// Policy is the checked and evaluated policy.
+type Policy struct {
+	Copies       int
+	ChunkTasks   int
+	NodeLease    time.Duration
+	Handback     time.Duration
+	Probe        time.Duration
+	Suspect      time.Duration
+	Fence        time.Duration
+	WarmShare    float64
+	ArrayWait    time.Duration
+	Idle         time.Duration
+	RefusedPause time.Duration
+}
+
+// bound is what a name may be.
+type bound struct{ low, high float64 }
+
+var bounds = map[string]bound{
+	"copies": {1, 64}, "chunk_tasks": {2, 128}, "node_lease": {1, 60}, "handback_after": {0, 600},
+	"probe_after": {0.5, 600}, "suspect_after": {0.5, 600}, "fence_after": {1, 3600},
+	"warm_share": {0, 10}, "array_wait": {1, 3600}, "idle_after": {0, 86400}, "refused_pause": {1, 3600},
+}
+
+// Load reads the defaults and, if path is not empty, an operators' file over them.
+func Load(path string, s protocol.Settings) (Policy, error) {
+	env := map[string]float64{
+		"report": s.Workers.Report.Seconds(), "lease": s.Workers.Lease.Seconds(), "cancel": s.Workers.Cancel.Seconds(),
+		"list_lag": s.CloudLimit.ListLag.Seconds(), "state_rps": s.StateLimit.RPS,
+		"state_write_rps": s.StateLimit.WriteRPS, "cloud_rps": s.CloudLimit.RPS,
+		"nodes": float64(s.Nodes), "zones": float64(len(s.Zones)),
+	}
+	values := make(map[string]float64)
+	if err := read("default.policy", defaults, env, values); err != nil {
+		return Policy{}, err
+	}
+	if path != "" {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return Policy{}, fmt.Errorf("policy: %w", err)
+		}
+		if err := read(path, string(raw), env, values); err != nil {
+			return Policy{}, err
+		}
+	}
+	sec := func(name string) time.Duration { return protocol.Seconds(values[name]) }
+	p := Policy{Copies: int(values["copies"]), ChunkTasks: int(values["chunk_tasks"]) &^ 1,
+		NodeLease: sec("node_lease"), Handback: sec("handback_after"), Probe: sec("probe_after"),
+		Suspect: sec("suspect_after"), Fence: sec("fence_after"), WarmShare: values["warm_share"],
+		ArrayWait: sec("array_wait"), Idle: sec("idle_after"), RefusedPause: sec("refused_pause")}
+	if p.Fence <= p.Suspect {
+		return Policy{}, fmt.Errorf("policy: fence_after (%v) must be above suspect_after (%v)", p.Fence, p.Suspect)
+	}
+	return p, nil
+}
+
+func read(file, text string, env, values map[string]float64) error {
+	for i, line := range strings.Split(text, "\n") {
+		trimmed := strings.TrimSpace(line)
+		if trimmed == "" || strings.HasPrefix(trimmed, "#") {
+			continue
+		}
+		name, source, ok := strings.Cut(line, "=")
+		at := strings.Index(line, "=") + 2
+		name = strings.TrimSpace(name)
+		if !ok {
+			return fmt.Errorf("%s:%d:1: wants name = expression", file, i+1)
+		}
+		b, known := bounds[name]
+		if !known {
+			return fmt.Errorf("%s:%d:1: unknown name %q", file, i+1, name)
+		}
+		v, err := evaluate(source, env)
+		if err != nil {
+			return fmt.Errorf("%s:%d:%d: %s: %w", file, i+1, at, name, err)
+		}
+		if !(v >= b.low && v <= b.high) || math.IsNaN(v) {
+			return fmt.Errorf("%s:%d:%d: %s is %v, must be from %v to %v", file, i+1, at, name, v, b.low, b.high)
+		}
+		values[name] = v
+	}
+	return nil
+}
+
+func evaluate(source string, env map[string]float64) (float64, error) {
+	program, err := expr.Compile(source, expr.Env(env), expr.AsFloat64())
+	if err != nil {
+		return 0, err
+	}
+	out, err := expr.Run(program, env)
+	if err != nil {
+		return 0, err
+	}
+	v, ok := out.(float64)
+	if !ok {
+		return 0, fmt.Errorf("is no number but %T", out)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/protocol/peer.go
@@ -0,0 +1,29 @@
+package protocol
+
+import "encoding/json"
+
+// PeerMessage is what controllers send each other. All of it is advice: every
+// decision that matters is settled by the state service.
+type PeerMessage struct {
+	From  string    `json:"from"`
+	Loads []Load    `json:"loads,omitempty"`
+	Fresh []KeyNews `json:"fresh,omitempty"`
+	// StateOK tells that the sender heard from the state service just now.
+	StateOK bool `json:"stateOk"`
+}
+
+// Load is a shard's load as its owner sees it.
+type Load struct {
+	Shard  string             `json:"shard"`
+	CPUs   float64            `json:"cpus"`   // of all usable machines
+	Used   float64            `json:"used"`   // by placed tasks
+	Queued float64            `json:"queued"` // wanted by its queue
+	Holds  map[string]float64 `json:"holds"`  // image: largest free CPUs on one machine holding it
+}
+
+// KeyNews passes a just-committed record on, ahead of the watch.
+type KeyNews struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+	Stamp uint64          `json:"stamp"`
+}
--- /dev/null
+++ b/madderslip.go
@@ -0,0 +1,120 @@
+// Package madderslip is a cluster scheduler: controllers own shards of rented
+// machines, queue each job at the K least-loaded shards, and start it where it
+// can start first. It can be embedded: New, then Run.
+package madderslip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
+
+	"madderslip/internal/coordination"
+	"madderslip/internal/ledger"
+	"madderslip/internal/policy"
+	"madderslip/internal/protocol"
+	"madderslip/internal/transport"
+)
+
+// Version is the version of this release.
+const Version = "0.1.0"
+
+// Config is a controller's checked configuration.
+type Config struct {
+	Settings protocol.Settings
+	Policy   policy.Policy
+	Log      *slog.Logger
+}
+
+// LoadConfig reads and checks the platform's settings file and the operators'
+// policy. policyFile may be empty; then the settings' own entry, or the
+// defaults, hold.
+func LoadConfig(file, policyFile string) (Config, error) {
+	s, err := protocol.LoadSettings(file)
+	if err != nil {
+		return Config{}, err
+	}
+	if policyFile == "" {
+		policyFile = s.PolicyFile
+	}
+	p, err := policy.Load(policyFile, s)
+	if err != nil {
+		return Config{}, err
+	}
+	return Config{Settings: s, Policy: p}, nil
+}
+
+// Controller is one controller.
+type Controller struct {
+	cfg   Config
+	led   *ledger.Client
+	node  *coordination.Node
+	pub   *transport.Server
+	peers []*transport.PeerClient
+}
+
+// New prepares a controller; nothing is opened before Run.
+func New(cfg Config) (*Controller, error) {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	s := cfg.Settings
+	// Sockets: most for users and workers, the rest for calls of our own.
+	own := max(16, min(300, s.Machine.MaxConns/4))
+	worker := transport.NewClient(own, 1, time.Second)
+	state := transport.NewClient(24, 8, time.Second)
+	led := ledger.New(state, s.State, s.StateLimit, cfg.Log)
+	c := &Controller{cfg: cfg, led: led}
+	callers := make(map[string]coordination.PeerCaller)
+	for _, p := range s.Peers {
+		pc, err := transport.DialPeer(p.Addr)
+		if err != nil {
+			return nil, err
+		}
+		c.peers = append(c.peers, pc)
+		callers[p.Node] = pc
+	}
+	seed := uint64(time.Now().UnixNano())
+	c.node = coordination.New(coordination.Options{Settings: s, Policy: cfg.Policy, Ledger: led, HTTP: worker,
+		Peers: callers, Log: cfg.Log, Rand: rand.New(rand.NewPCG(seed, 1))})
+	c.pub = transport.NewServer(transport.ServerConfig{
+		Addr: s.PublicAddr, MaxConns: max(8, s.Machine.MaxConns-own-80),
+		Limits: transport.Limits{Head: 8 << 10, Body: 64 << 10},
+		Idle:   90 * time.Second, Stall: 10 * time.Second,
+	}, c.node.Handle, cfg.Log)
+	return c, nil
+}
+
+// Run serves until the context ends or an address can't be opened.
+func (c *Controller) Run(ctx context.Context) error {
+	ram := c.cfg.Settings.Machine.RAMBytes
+	debug.SetMemoryLimit(ram * 6 / 10)
+	ps, err := transport.ListenPeers(c.cfg.Settings.PeerBind, c.node.HandlePeer)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		if err := ps.Run(ctx); err != nil && ctx.Err() == nil {
+			cancel(fmt.Errorf("peer server: %w", err))
+		}
+	}()
+	go c.led.Run(ctx)
+	go func() {
+		if err := c.pub.Run(ctx, nil); err != nil {
+			cancel(fmt.Errorf("public server: %w", err))
+		}
+	}()
+	c.node.Run(ctx)
+	for _, p := range c.peers {
+		_ = p.Close()
+	}
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return nil
+}
