--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -216,7 +216,7 @@
 	failedSpecs := make(map[failKey]bool)
 	for _, u := range q {
 		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot}
-		if failedSpecs[key] {
+		if failedSpecs[key] || n.overLimit(u) {
 			continue
 		}
 		placed, short := n.placeUnit(s, u, rooms, now)
@@ -235,6 +235,23 @@
 	}
 }
 
+// overLimit tells that a unit's team has no room under its limit. Such a unit
+// neither reserves nor displaces: making room that it may not use threw away
+// work in a circle.
+func (n *Node) overLimit(u *unit) bool {
+	if !n.limited(u.spec) {
+		return false
+	}
+	limit := n.cfg.Teams[u.spec.Team]
+	use := n.teamRunning()[u.spec.Team]
+	count := 1.0
+	if u.spec.Shape == protocol.Gang {
+		count = float64(u.waiting())
+	}
+	return (limit.CPUsMax > 0 && use[0]+count*u.spec.CPUs > limit.CPUsMax+eps) ||
+		(limit.GMax > 0 && use[1]+count*u.spec.GPUs > limit.GMax+eps)
+}
+
 // failKey names what a job asks for, so that a pass need not try the same
 // again for every job alike.
 type failKey struct {
@@ -472,12 +489,16 @@
 func (n *Node) teamRunning() map[string][2]float64 {
 	use := make(map[string][2]float64)
 	for _, c := range n.claims {
-		if c.rec == nil || c.spec == nil {
+		rec := c.rec
+		if rec == nil {
+			rec = c.pend
+		}
+		if rec == nil || c.spec == nil {
 			continue
 		}
 		u := use[c.spec.Team]
-		u[0] += float64(len(c.rec.Open)) * c.spec.CPUs
-		u[1] += float64(len(c.rec.Open)) * c.spec.GPUs
+		u[0] += float64(len(rec.Open)) * c.spec.CPUs
+		u[1] += float64(len(rec.Open)) * c.spec.GPUs
 		use[c.spec.Team] = u
 	}
 	return use
