--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -481,8 +481,12 @@
 		return false
 	}
 	use := n.teamRunning()[spec.Team]
-	return (spec.GPUs == 0 || use[1]+spec.GPUs*float64(spec.Tasks) <= t.GPUs+eps) &&
-		(t.CPUs == 0 || use[0]+spec.CPUs*float64(spec.Tasks) <= t.CPUs+eps) && (spec.GPUs == 0 || t.GPUs > 0)
+	cpus, gpus := use[0]+spec.CPUs*float64(spec.Tasks), use[1]+spec.GPUs*float64(spec.Tasks)
+	if spec.GPUs > 0 {
+		return t.GPUs > 0 && gpus <= t.GPUs+eps && (t.CPUs == 0 || cpus <= t.CPUs+eps)
+	}
+	// A guarantee of cards alone gives work without cards no claim on others.
+	return t.CPUs > 0 && cpus <= t.CPUs+eps
 }
 
 // teamRunning is what each team's placements take: CPUs and GPUs.
