--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -160,20 +160,21 @@
 	return r.spareC+eps >= s.CPUs && r.spareG+eps >= s.GPUs && r.spareM+eps >= s.MemGB
 }
 
-// reserve gives the head job the machine on which it can start first.
-func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) {
+// reserve gives a job the machine on which it can start first, the fetch of
+// its image included, and returns when that is; ok is false if there is none.
+func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) (start time.Time, ok bool) {
 	best, bestAt := -1, time.Time{}
 	for i, r := range rooms {
 		if !r.usable || r.reservedFor != "" || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || !canEver(s, &r.total) {
 			continue
 		}
-		at, ok := shadowTime(s, r, now)
-		if ok && (best < 0 || at.Before(bestAt)) {
-			best, bestAt = i, at
+		at, can := shadowTime(s, r, now)
+		if can && (best < 0 || at.Add(r.fetch(s)).Before(start)) {
+			best, bestAt, start = i, at, at.Add(r.fetch(s))
 		}
 	}
 	if best < 0 {
-		return
+		return start, false
 	}
 	r := rooms[best]
 	r.reservedFor, r.shadow = ref, bestAt
@@ -184,6 +185,15 @@
 		}
 	}
 	r.spareC, r.spareG, r.spareM = c-s.CPUs, g-s.GPUs, m-s.MemGB
+	return start, true
+}
+
+// fetch is how long the machine should need to get a job's image.
+func (r *room) fetch(s *protocol.Submission) time.Duration {
+	if r.images(s.Image) || r.total.PullGBps <= 0 {
+		return 0
+	}
+	return protocol.Seconds(s.ImageGB / r.total.PullGBps)
 }
 
 // shadowTime is when a machine's running tasks will have left enough room.
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -224,17 +224,41 @@
 			continue
 		}
 		failedSpecs[key] = !u.spec.Spread && !u.spec.SameZone && len(u.spec.Types) == 0
-		if n.makeRoom(s, u, rooms, now) {
+		if blocked && u.spec.Shape == protocol.Array {
 			continue
 		}
-		if !blocked {
-			blocked = true
-			z := n.zonesOf(u)
-			reserve(u.spec, u.j.ref, rooms, &z, now)
+		// The head job gets the reservation of EASY. Gangs and services behind
+		// it get one as well: they displace arrays when they would be late, and
+		// holding a machine for them in time throws less work away.
+		blocked = true
+		z := n.zonesOf(u)
+		start, ok := reserve(u.spec, u.j.ref, rooms, &z, now)
+		if !ok || start.After(n.startBy(u, now)) {
+			n.makeRoom(s, u, rooms, now)
 		}
 	}
 }
 
+// startBy is when a job must start for the nearest of its objectives that can
+// still be met. Until then it waits for room rather than displace others. With
+// no objective left it is late already.
+func (n *Node) startBy(u *unit, now time.Time) time.Time {
+	best := time.Time{}
+	for _, o := range n.cfg.Objectives {
+		if !(o.Kind == "wait" && o.Class == u.spec.Class) && !(o.Kind == "guarantee" && n.withinGuarantee(u.spec)) {
+			continue
+		}
+		at := u.j.seen.Add(o.Within)
+		if at.After(now) && (best.IsZero() || at.Before(best)) {
+			best = at
+		}
+	}
+	if best.IsZero() && u.spec.Shape == protocol.Array {
+		return now.Add(time.Hour) // arrays displace nothing for a wait alone
+	}
+	return best
+}
+
 // overLimit tells that a unit's team has no room under its limit. Such a unit
 // neither reserves nor displaces: making room that it may not use threw away
 // work in a circle.
