--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -189,6 +190,7 @@
 			for _, name := range n.shardNames() {
 				if s := n.shards[name]; n.active(s) {
 					n.returnIdle(s, now)
+					n.consolidate(s, now)
 				}
 			}
 			if n.leading() {
@@ -246,7 +248,7 @@
 		if m.idleSince.IsZero() {
 			m.idleSince = now
 		}
-		if m.sick {
+		if m.sick || !m.draining.IsZero() {
 			n.returnMachine(s, m)
 			continue
 		}
@@ -264,6 +266,120 @@
 	}
 }
 
+const (
+	consolidateGap = 4 * time.Second
+	drainPatience  = 25 * time.Second
+)
+
+// consolidate empties the machine whose price is least used, when all that
+// runs there are replicas that other machines of the shard can take at once,
+// their image at hand. Replicas run for hours; without this a few of them
+// keep a costly machine long after the work it was hired for.
+func (n *Node) consolidate(s *shard, now time.Time) {
+	for _, m := range n.machines {
+		if m.rec.Shard != s.name || m.draining.IsZero() {
+			continue
+		}
+		if now.Sub(m.draining) > drainPatience {
+			m.draining = time.Time{}
+			continue
+		}
+		n.moveReplicas(m, now)
+	}
+	if now.Sub(s.drained) < consolidateGap || now.Sub(s.since) < 15*time.Second || len(n.queueOf(s, now)) > 0 {
+		return
+	}
+	rooms := n.rooms(s, now)
+	on := make(map[string][]victim)
+	movable := make(map[string]bool)
+	for _, r := range rooms {
+		on[r.host] = r.victims
+		movable[r.host] = r.usable && len(r.victims) > 0 && len(r.ends) == 0 && !n.mixed(r.host)
+	}
+	slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(b.wasted(), a.wasted()) })
+	for _, from := range rooms {
+		if !movable[from.host] || from.wasted() < 0.3*from.price() {
+			continue
+		}
+		if !n.fitElsewhere(from, on[from.host], rooms, now) {
+			continue
+		}
+		n.log.Info("emptying a machine", "host", from.host, "replicas", len(on[from.host]))
+		n.machines[from.host].draining = now
+		s.drained = now
+		n.moveReplicas(n.machines[from.host], now)
+		n.poke()
+		return
+	}
+}
+
+// moveReplicas stops what a machine being emptied still runs, one replica of
+// each service at a time, so that a service goes on while it moves.
+func (n *Node) moveReplicas(m *machine, now time.Time) {
+	for _, c := range n.claims {
+		if c.rec == nil || c.pend != nil || c.spec == nil || len(c.evict) > 0 || len(c.rec.Open) < c.rec.Count {
+			continue
+		}
+		for _, p := range c.rec.Open {
+			if p.Host == m.host {
+				c.evict = map[int]time.Time{p.Task: now}
+				break
+			}
+		}
+	}
+}
+
+// price is what a machine costs an hour.
+func (r *room) price() float64 { return offer{&r.total, r.zone, r.spot}.price() }
+
+// wasted is the part of a machine's price that buys nothing.
+func (r *room) wasted() float64 {
+	return r.price() * max(0, r.cpus) / max(r.total.CPUs, 1)
+}
+
+// mixed tells whether a machine runs anything that can't be moved now.
+func (n *Node) mixed(host string) bool {
+	for _, c := range n.claims {
+		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
+			if rec == nil {
+				continue
+			}
+			for _, p := range rec.Open {
+				if p.Host == host && (c.spec == nil || c.spec.Shape != protocol.Service || c.pend != nil || len(c.evict) > 0) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// fitElsewhere tries the moves on a copy of the rooms.
+func (n *Node) fitElsewhere(from *room, tasks []victim, rooms []*room, now time.Time) bool {
+	var others []*room
+	for _, r := range rooms {
+		if r != from {
+			c := *r
+			others = append(others, &c)
+		}
+	}
+	for _, v := range tasks {
+		var zones []string
+		for _, p := range v.c.rec.Open {
+			if m := n.machines[p.Host]; m != nil && p.Task != v.task {
+				zones = append(zones, m.rec.Zone)
+			}
+		}
+		z := newZoneRule(v.c.spec, zones)
+		i := choose(v.c.spec, v.c.ref, others, &z, 0, now)
+		if i < 0 || !others[i].images(v.c.spec.Image) {
+			return false
+		}
+		others[i].take(v.c.spec)
+	}
+	return true
+}
+
 func (n *Node) strays(m *machine) bool {
 	for _, t := range m.tasks {
 		if t.Phase != protocol.TaskExited {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -94,7 +94,7 @@
 		t := n.typeOf(m.rec.Type)
 		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t,
 			cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, images: m.holds, recentErrors: nil}
-		r.usable = m.rep != nil && !m.sick && m.warned.IsZero() && !m.returning && m.address() != "" &&
+		r.usable = m.rep != nil && !m.sick && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
 			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
 		for ref, at := range m.errorJobs {
 			if now.Sub(at) < 30*time.Second {
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -11,14 +11,15 @@
 // shard is a set of machines with one owner at a time. token is the revision
 // at which this process acquired it, or 0 when it does not own it.
 type shard struct {
-	name   string
-	rec    *ledger.Shard
-	stamp  uint64
-	token  uint64
-	since  time.Time // when this process acquired it
-	busy   bool
-	raise  bool // a new token is wanted, to void commands of unknown fate
-	raised time.Time
+	name    string
+	rec     *ledger.Shard
+	stamp   uint64
+	token   uint64
+	since   time.Time // when this process acquired it
+	busy    bool
+	raise   bool // a new token is wanted, to void commands of unknown fate
+	raised  time.Time
+	drained time.Time // when a machine was last emptied to be returned
 }
 
 func (n *Node) shard(name string) *shard {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -37,6 +37,7 @@
 	returning  bool // a commit or a call to return it is under way
 	returnNext time.Time
 	idleSince  time.Time
+	draining   time.Time            // being emptied since, to be returned
 	errorJobs  map[string]time.Time // jobs whose tasks failed here, cleared by a success
 	denied     time.Time            // refused a start for want of room: nothing new before
 	sick       bool
