--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,243 @@
+// Package standin is a small world for tests, written from the protocol:
+// state service, cloud and workers in one process, on the clock of the test.
+// It checks the rules itself, so that a test fails when one is broken.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type kv struct {
+	value json.RawMessage
+	stamp uint64
+	grant uint64
+}
+
+type change struct {
+	Set   string          `json:"set,omitempty"`
+	Drop  string          `json:"drop,omitempty"`
+	Value json.RawMessage `json:"value,omitempty"`
+	Stamp uint64          `json:"stamp"`
+}
+
+type grant struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// State is the state service.
+type State struct {
+	mu      sync.Mutex
+	keys    map[string]kv
+	log     []change
+	epoch   uint64
+	grants  map[uint64]*grant
+	nextID  uint64
+	changed chan struct{}
+	down    bool
+}
+
+func newState() *State {
+	return &State{keys: make(map[string]kv), grants: make(map[uint64]*grant), changed: make(chan struct{})}
+}
+
+// run ends leases until the context does.
+func (s *State) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		s.mu.Lock()
+		for id, g := range s.grants {
+			if !s.down && time.Now().After(g.ends) {
+				s.end(id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.grants, id)
+	for key, v := range s.keys {
+		if v.grant == id {
+			s.epoch++
+			delete(s.keys, key)
+			s.log = append(s.log, change{Drop: key, Stamp: s.epoch})
+		}
+	}
+	s.wake()
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setDown begins or ends an outage; after it every lease has its full time.
+func (s *State) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, g := range s.grants {
+		g.ends = time.Now().Add(g.ttl)
+	}
+	s.wake()
+}
+
+func reply(status int, v any) (int, []byte) {
+	b, _ := json.Marshal(v)
+	return status, b
+}
+
+func (s *State) do(ctx context.Context, method, target string, body []byte) (int, []byte) {
+	u, err := url.Parse(target)
+	if err != nil {
+		return 400, nil
+	}
+	if method == "GET" && u.Path == "/watch" {
+		return s.watch(ctx, u.Query())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 503, nil
+	}
+	switch {
+	case method == "GET" && u.Path == "/keys":
+		return s.list(u.Query())
+	case method == "GET" && strings.HasPrefix(u.Path, "/keys/"):
+		key := strings.TrimPrefix(u.Path, "/keys/")
+		v, ok := s.keys[key]
+		if !ok {
+			return reply(404, map[string]uint64{"epoch": s.epoch})
+		}
+		return reply(200, map[string]any{"key": key, "value": v.value, "stamp": v.stamp})
+	case u.Path == "/multi":
+		return s.multi(body)
+	case u.Path == "/grants":
+		var in struct {
+			TTL int64 `json:"ttlMs"`
+		}
+		if json.Unmarshal(body, &in) != nil || in.TTL < 100 {
+			return 400, nil
+		}
+		s.nextID++
+		ttl := time.Duration(in.TTL) * time.Millisecond
+		s.grants[s.nextID] = &grant{ttl, time.Now().Add(ttl)}
+		return reply(200, map[string]uint64{"permit": s.nextID})
+	case strings.HasSuffix(u.Path, "/extend"):
+		id, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		g := s.grants[id]
+		if g == nil {
+			return 404, nil
+		}
+		g.ends = time.Now().Add(g.ttl)
+		return reply(200, map[string]uint64{"permit": id})
+	}
+	return 404, nil
+}
+
+func (s *State) list(q url.Values) (int, []byte) {
+	var names []string
+	for key := range s.keys {
+		if strings.HasPrefix(key, q.Get("under")) && key > q.Get("from") {
+			names = append(names, key)
+		}
+	}
+	slices.Sort(names)
+	most, _ := strconv.Atoi(q.Get("most"))
+	truncated := most > 0 && len(names) > most
+	if truncated {
+		names = names[:most]
+	}
+	items := []map[string]any{}
+	for _, key := range names {
+		items = append(items, map[string]any{"key": key, "value": s.keys[key].value, "stamp": s.keys[key].stamp})
+	}
+	return reply(200, map[string]any{"items": items, "truncated": truncated, "epoch": s.epoch})
+}
+
+func (s *State) multi(body []byte) (int, []byte) {
+	var in struct {
+		If []struct {
+			Key   string `json:"key"`
+			Stamp uint64 `json:"stamp"`
+		} `json:"if"`
+		Writes []struct {
+			Set    string          `json:"set"`
+			Drop   string          `json:"drop"`
+			Value  json.RawMessage `json:"value"`
+			Permit uint64          `json:"permit"`
+		} `json:"writes"`
+	}
+	if json.Unmarshal(body, &in) != nil {
+		return 400, nil
+	}
+	for _, w := range in.Writes {
+		if w.Permit != 0 && s.grants[w.Permit] == nil {
+			return reply(400, map[string]string{"error": "no such lease"})
+		}
+	}
+	var failed []string
+	for _, c := range in.If {
+		if s.keys[c.Key].stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return reply(409, map[string]any{"failed": failed, "epoch": s.epoch})
+	}
+	if len(in.Writes) > 0 {
+		s.epoch++
+	}
+	for _, w := range in.Writes {
+		if w.Set != "" {
+			s.keys[w.Set] = kv{w.Value, s.epoch, w.Permit}
+			s.log = append(s.log, change{Set: w.Set, Value: w.Value, Stamp: s.epoch})
+		} else if _, ok := s.keys[w.Drop]; ok {
+			delete(s.keys, w.Drop)
+			s.log = append(s.log, change{Drop: w.Drop, Stamp: s.epoch})
+		}
+	}
+	s.wake()
+	return reply(200, map[string]uint64{"epoch": s.epoch})
+}
+
+func (s *State) watch(ctx context.Context, q url.Values) (int, []byte) {
+	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+	block, _ := strconv.Atoi(q.Get("blockMs"))
+	deadline := time.After(time.Duration(block) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		news := []change{}
+		if !s.down {
+			for _, c := range s.log {
+				if c.Stamp > from {
+					news = append(news, c)
+				}
+			}
+		}
+		epoch, changed := s.epoch, s.changed
+		s.mu.Unlock()
+		if len(news) > 0 {
+			return reply(200, map[string]any{"epoch": epoch, "news": news})
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return reply(200, map[string]any{"epoch": from, "news": news})
+		case <-ctx.Done():
+			return 0, nil
+		}
+	}
+}
