--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -267,7 +267,7 @@
 }
 
 const (
-	consolidateGap = 4 * time.Second
+	consolidateGap = 10 * time.Second
 	drainPatience  = 25 * time.Second
 )
 
@@ -276,6 +276,7 @@
 // their image at hand. Replicas run for hours; without this a few of them
 // keep a costly machine long after the work it was hired for.
 func (n *Node) consolidate(s *shard, now time.Time) {
+	busy := false
 	for _, m := range n.machines {
 		if m.rec.Shard != s.name || m.draining.IsZero() {
 			continue
@@ -285,20 +286,29 @@
 			continue
 		}
 		n.moveReplicas(m, now)
+		busy = busy || m.rec.State == ""
 	}
-	if now.Sub(s.drained) < consolidateGap || now.Sub(s.since) < 15*time.Second || len(n.queueOf(s, now)) > 0 {
+	if busy || now.Sub(s.drained) < consolidateGap || now.Sub(s.since) < 15*time.Second || len(n.queueOf(s, now)) > 0 {
 		return
 	}
 	rooms := n.rooms(s, now)
+	spare, keep := 0.0, 0.0
 	on := make(map[string][]victim)
 	movable := make(map[string]bool)
 	for _, r := range rooms {
 		on[r.host] = r.victims
+		if r.usable {
+			spare += r.cpus
+		}
+		for _, v := range r.victims {
+			// What is left must hold the warm room and these replicas too.
+			keep += v.cpus * n.pol.WarmShare
+		}
 		movable[r.host] = r.usable && len(r.victims) > 0 && len(r.ends) == 0 && !n.mixed(r.host)
 	}
 	slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(b.wasted(), a.wasted()) })
 	for _, from := range rooms {
-		if !movable[from.host] || from.wasted() < 0.3*from.price() {
+		if !movable[from.host] || from.wasted() < 0.6*from.price() || spare-from.cpus < keep {
 			continue
 		}
 		if !n.fitElsewhere(from, on[from.host], rooms, now) {
@@ -330,7 +340,7 @@
 }
 
 // price is what a machine costs an hour.
-func (r *room) price() float64 { return offer{&r.total, r.zone, r.spot}.price() }
+func (r *room) price() float64 { return offer{&r.total, r.zone, r.spot, r.shard}.price() }
 
 // wasted is the part of a machine's price that buys nothing.
 func (r *room) wasted() float64 {
@@ -363,18 +373,22 @@
 			others = append(others, &c)
 		}
 	}
+	// Moves of one service follow one another: each starts from where the
+	// earlier ones went, or a spread service could end with no zone left.
+	zones := make(map[*claim][]string)
 	for _, v := range tasks {
-		var zones []string
-		for _, p := range v.c.rec.Open {
-			if m := n.machines[p.Host]; m != nil && p.Task != v.task {
-				zones = append(zones, m.rec.Zone)
-			}
+		if _, ok := zones[v.c]; !ok {
+			zones[v.c] = n.zonesTaken(v.c)
+		}
+		if i := slices.Index(zones[v.c], from.zone); i >= 0 {
+			zones[v.c] = slices.Delete(zones[v.c], i, i+1)
 		}
-		z := newZoneRule(v.c.spec, zones)
+		z := newZoneRule(v.c.spec, zones[v.c])
 		i := choose(v.c.spec, v.c.ref, others, &z, 0, now)
 		if i < 0 || !others[i].images(v.c.spec.Image) {
 			return false
 		}
+		zones[v.c] = append(zones[v.c], others[i].zone)
 		others[i].take(v.c.spec)
 	}
 	return true
@@ -391,9 +405,10 @@
 
 // offer is a kind of machine that the cloud may rent.
 type offer struct {
-	typ  *protocol.MachineType
-	zone string
-	spot bool
+	typ   *protocol.MachineType
+	zone  string
+	spot  bool
+	shard string // where it must go; empty: where there is least
 }
 
 func (o offer) key() string { return o.typ.Name + "/" + o.zone + "/" + strconv.FormatBool(o.spot) }
@@ -409,7 +424,9 @@
 type want struct {
 	spec  *protocol.Submission
 	count int
-	zone  string // for warm room: where it should be
+	zone  string   // for warm room: where it should be
+	shard string   // the shard that holds the claim; only its machines can help
+	taken []string // zones of the unit's tasks that have machines
 }
 
 // hireFor hires for the work that neither free nor coming room can take.
@@ -431,7 +448,10 @@
 	groups := make(map[string]*ledger.Hire)
 	var order []string
 	for _, o := range need {
-		shard := n.smallestShard(o.zone, o.typ.Name)
+		shard := o.shard
+		if shard == "" {
+			shard = n.smallestShard(o.zone, o.typ.Name)
+		}
 		if shard == "" {
 			return
 		}
@@ -559,7 +579,7 @@
 		if m.rec.State != "" || t == nil || m.sick || m.returning || !m.warned.IsZero() {
 			continue
 		}
-		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: *t, cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB}
+		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: *t, cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, shard: m.rec.Shard}
 		byHost[m.host] = r
 		out = append(out, r)
 	}
@@ -581,7 +601,7 @@
 	for _, h := range n.hires {
 		if t := n.types[h.rec.Type]; t != nil {
 			for range h.rec.Count {
-				out = append(out, newRoom(offer{t, h.rec.Zone, h.rec.Spot}))
+				out = append(out, newRoom(offer{t, h.rec.Zone, h.rec.Spot, h.rec.Shard}))
 			}
 		}
 	}
@@ -589,7 +609,7 @@
 }
 
 func newRoom(o offer) *room {
-	return &room{typ: o.typ.Name, zone: o.zone, spot: o.spot, total: *o.typ, cpus: o.typ.CPUs, gpus: o.typ.GPUs, mem: o.typ.MemGB}
+	return &room{typ: o.typ.Name, shard: o.shard, zone: o.zone, spot: o.spot, total: *o.typ, cpus: o.typ.CPUs, gpus: o.typ.GPUs, mem: o.typ.MemGB}
 }
 
 // wants lists the work without machines, urgent first, and arrays apart: an
@@ -602,30 +622,32 @@
 			continue
 		}
 		spec := j.rec.Spec
-		waiting := 0
-		for i := range j.chunks {
-			u := unit{j: j, c: j.claims[i], chunk: i, spec: spec}
-			waiting += u.waiting()
-			if u.c != nil && u.c.rec != nil && spec.Shape == protocol.Service {
-				services += len(u.c.rec.Open)
-			}
-		}
 		if spec.Shape == protocol.Service {
 			service = spec
 		}
-		if waiting == 0 || now.Before(j.pause) {
-			continue
-		}
-		if t := n.cfg.Teams[spec.Team]; spec.GPUs > 0 && t.GMax > 0 {
+		free := math.MaxInt
+		if n.limited(spec) {
 			// No machines for what the team's limit keeps waiting anyway.
-			free := int((t.GMax - n.teamRunning()[spec.Team][1] + eps) / spec.GPUs)
-			waiting = min(waiting, max(0, free))
+			free = n.allowance(spec)
 		}
-		w := want{spec: spec, count: min(waiting, 2000)}
-		if spec.Shape == protocol.Array {
-			arrays = append(arrays, w)
-		} else {
-			urgent = append(urgent, w)
+		for i := range j.chunks {
+			u := unit{j: j, c: j.claims[i], chunk: i, spec: spec}
+			w := want{spec: spec, count: min(u.waiting(), free, 2000)}
+			if u.c != nil && u.c.rec != nil {
+				w.shard, w.taken = u.c.rec.Shard, n.zonesTaken(u.c)
+				if spec.Shape == protocol.Service {
+					services += len(u.c.rec.Open)
+				}
+			}
+			if w.count <= 0 || now.Before(j.pause) {
+				continue
+			}
+			free -= w.count
+			if spec.Shape == protocol.Array {
+				arrays = append(arrays, w)
+			} else {
+				urgent = append(urgent, w)
+			}
 		}
 	}
 	byPrio := func(a, b want) int {
@@ -681,11 +703,12 @@
 func (n *Node) fill(supply *[]*room, w want, now time.Time, budget float64) []offer {
 	var hires []offer
 	used := 0.0
-	zones := newZoneRule(w.spec, nil)
+	zones := newZoneRule(w.spec, w.taken)
 	for i := 0; i < w.count; i++ {
 		var at *room
 		for _, r := range *supply {
-			if r.fits(w.spec) && allowed(w.spec, r.typ, r.zone, r.spot) && zones.permits(r.zone) && (w.zone == "" || w.zone == r.zone) {
+			if r.fits(w.spec) && allowed(w.spec, r.typ, r.zone, r.spot) && zones.permits(r.zone) && (w.zone == "" || w.zone == r.zone) &&
+				(w.shard == "" || r.shard == "" || w.shard == r.shard) {
 				at = r
 				break
 			}
@@ -728,7 +751,7 @@
 		}
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				o := offer{t, zone, spot}
+				o := offer{t, zone, spot, w.shard}
 				if !allowed(w.spec, name, zone, spot) || !zones.permits(zone) || (w.zone != "" && w.zone != zone) || now.Before(n.refused[o.key()]) {
 					continue
 				}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -96,8 +96,9 @@
 }
 
 type unknownHost struct {
-	first time.Time
-	busy  bool
+	first            time.Time
+	busy             bool // being recorded, in this shard
+	shard, zone, typ string
 }
 
 // Options are a node's collaborators.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -11,6 +11,7 @@
 // room is what a machine has free, as one pass sees it.
 type room struct {
 	host, typ, zone string
+	shard           string
 	spot            bool
 	usable          bool // settled trouble aside: new tasks may go there
 	cpus, gpus, mem float64
@@ -161,8 +162,8 @@
 }
 
 // reserve gives a job the machine on which it can start first, the fetch of
-// its image included, and returns when that is; ok is false if there is none.
-func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) (start time.Time, ok bool) {
+// its image included, and returns that machine, if there is one, and when.
+func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) (held *room, start time.Time) {
 	best, bestAt := -1, time.Time{}
 	for i, r := range rooms {
 		if !r.usable || r.reservedFor != "" || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || !canEver(s, &r.total) {
@@ -174,7 +175,7 @@
 		}
 	}
 	if best < 0 {
-		return start, false
+		return nil, start
 	}
 	r := rooms[best]
 	r.reservedFor, r.shadow = ref, bestAt
@@ -185,7 +186,7 @@
 		}
 	}
 	r.spareC, r.spareG, r.spareM = c-s.CPUs, g-s.GPUs, m-s.MemGB
-	return start, true
+	return r, start
 }
 
 // fetch is how long the machine should need to get a job's image.
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -92,7 +93,7 @@
 			continue
 		}
 		t := n.typeOf(m.rec.Type)
-		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t,
+		r := &room{host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t,
 			cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, images: m.holds, recentErrors: nil}
 		r.usable = m.rep != nil && !m.sick && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
 			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
@@ -109,11 +110,12 @@
 	}
 	slices.SortFunc(out, func(a, b *room) int { return strings.Compare(a.host, b.host) })
 	counted := make(map[string]bool)
+	use := n.teamRunning()
 	for _, c := range n.claims {
 		if c.spec == nil {
 			continue
 		}
-		n.charge(c, byHost, counted, now)
+		n.charge(c, byHost, counted, use[c.spec.Team], now)
 	}
 	for _, r := range out {
 		n.chargeStrays(r, counted)
@@ -123,7 +125,7 @@
 
 // charge takes a claim's placements, committed or being committed, out of the
 // free room, and notes when they should end and who might be displaced.
-func (n *Node) charge(c *claim, byHost map[string]*room, counted map[string]bool, now time.Time) {
+func (n *Node) charge(c *claim, byHost map[string]*room, counted map[string]bool, use [2]float64, now time.Time) {
 	for _, rec := range []*ledger.Claim{c.rec, c.pend} {
 		if rec == nil {
 			continue
@@ -143,12 +145,12 @@
 				continue // its end is being committed
 			}
 			r.take(c.spec)
-			n.noteEnding(r, m, c, p, name, now)
+			n.noteEnding(r, m, c, p, name, use, now)
 		}
 	}
 }
 
-func (n *Node) noteEnding(r *room, m *machine, c *claim, p ledger.Placement, name string, now time.Time) {
+func (n *Node) noteEnding(r *room, m *machine, c *claim, p ledger.Placement, name string, use [2]float64, now time.Time) {
 	began, running := m.running[name]
 	ran := time.Duration(0)
 	if running {
@@ -173,17 +175,13 @@
 	}
 	r.victims = append(r.victims, victim{c: c, task: p.Task, prio: c.spec.Prio(), cpus: c.spec.CPUs, gpus: c.spec.GPUs,
 		mem: c.spec.MemGB, lost: lost * max(c.spec.CPUs, 1), team: c.spec.Team,
-		beyond: n.beyondGuarantee(c.spec)})
+		beyond: n.beyondGuarantee(c.spec, use)})
 }
 
 // beyondGuarantee tells whether a team borrows the kind of resource that a job
 // of its own uses.
-func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
+func (n *Node) beyondGuarantee(spec *protocol.Submission, use [2]float64) bool {
 	t := n.cfg.Teams[spec.Team]
-	if t.CPUs == 0 && t.GPUs == 0 {
-		return false
-	}
-	use := n.teamRunning()[spec.Team]
 	if spec.GPUs > 0 {
 		return use[1] > t.GPUs+eps
 	}
@@ -232,9 +230,11 @@
 		// holding a machine for them in time throws less work away.
 		blocked = true
 		z := n.zonesOf(u)
-		start, ok := reserve(u.spec, u.j.ref, rooms, &z, now)
-		if !ok || start.After(n.startBy(u, now)) {
-			n.makeRoom(s, u, rooms, now)
+		held, start := reserve(u.spec, u.j.ref, rooms, &z, now)
+		if held == nil || start.After(n.startBy(u, now)) {
+			if n.makeRoom(s, u, rooms, now) && held != nil && held.shadow.After(now) {
+				held.reservedFor = "" // the displaced room serves instead
+			}
 		}
 	}
 }
@@ -266,14 +266,11 @@
 	if !n.limited(u.spec) {
 		return false
 	}
-	limit := n.cfg.Teams[u.spec.Team]
-	use := n.teamRunning()[u.spec.Team]
-	count := 1.0
+	count := 1
 	if u.spec.Shape == protocol.Gang {
-		count = float64(u.waiting())
+		count = u.waiting()
 	}
-	return (limit.CPUsMax > 0 && use[0]+count*u.spec.CPUs > limit.CPUsMax+eps) ||
-		(limit.GMax > 0 && use[1]+count*u.spec.GPUs > limit.GMax+eps)
+	return n.allowance(u.spec) < count
 }
 
 // failKey names what a job asks for, so that a pass need not try the same
@@ -288,15 +285,37 @@
 }
 
 func (n *Node) zonesOf(u *unit) zoneRule {
+	if u.c == nil {
+		return newZoneRule(u.spec, nil)
+	}
+	return newZoneRule(u.spec, n.zonesTaken(u.c))
+}
+
+// zonesTaken lists the zones of a claim's placements, a zone for each.
+func (n *Node) zonesTaken(c *claim) []string {
 	var zones []string
-	if u.c != nil && u.c.rec != nil {
-		for _, p := range u.c.rec.Open {
-			if m := n.machines[p.Host]; m != nil {
-				zones = append(zones, m.rec.Zone)
-			}
+	if c.rec == nil {
+		return nil
+	}
+	for _, p := range c.rec.Open {
+		if m := n.machines[p.Host]; m != nil {
+			zones = append(zones, m.rec.Zone)
 		}
 	}
-	return newZoneRule(u.spec, zones)
+	return zones
+}
+
+// allowance is how many more tasks of a job its team's limit permits.
+func (n *Node) allowance(spec *protocol.Submission) int {
+	limit, use := n.cfg.Teams[spec.Team], n.teamRunning()[spec.Team]
+	free := math.MaxInt32
+	if limit.CPUsMax > 0 && spec.CPUs > 0 {
+		free = min(free, int((limit.CPUsMax-use[0]+eps)/spec.CPUs))
+	}
+	if limit.GMax > 0 && spec.GPUs > 0 {
+		free = min(free, int((limit.GMax-use[1]+eps)/spec.GPUs))
+	}
+	return max(0, free)
 }
 
 // placeUnit places as many tasks of a unit as there is room for. short is true
@@ -315,8 +334,14 @@
 		undo(u.spec, picks, rooms)
 		return false, true
 	}
-	// A service that fits elsewhere whole should not be torn to wait here.
-	if u.c == nil && u.spec.Shape == protocol.Service && len(picks) < need && now.Sub(u.j.seen) < time.Second {
+	// A service that fits elsewhere whole should not be torn to wait here. One
+	// that must spread waits until every shard has had its turn: this one may
+	// have no machine in a second zone.
+	patience := time.Second
+	if u.spec.Spread {
+		patience = widenAfter + 2*time.Second
+	}
+	if u.c == nil && u.spec.Shape == protocol.Service && len(picks) < need && now.Sub(u.j.seen) < patience {
 		undo(u.spec, picks, rooms)
 		return false, true
 	}
@@ -351,8 +376,12 @@
 		open[p.Task] = true
 	}
 	est := n.estimate(u.spec)
+	most := maxOpen - len(open)
+	if n.limited(u.spec) {
+		most = min(most, n.allowance(u.spec))
+	}
 	var picks []pick
-	for t := rec.First; t < rec.First+rec.Count && len(open)+len(picks) < maxOpen; t++ {
+	for t := rec.First; t < rec.First+rec.Count && len(picks) < most; t++ {
 		if open[t] || rec.IsDone(t) {
 			continue
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -352,7 +352,7 @@
 	if u.busy || now.Sub(u.first) < patience || target == "" || n.types[typ] == nil {
 		return
 	}
-	u.busy = true
+	u.busy, u.shard, u.zone, u.typ = true, target, zone, typ
 	n.unknown[host] = u
 	rec := &ledger.Machine{Shard: target, Type: typ, Zone: zone, Spot: spot, Addr: addr, Born: now.UnixMilli()}
 	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.MachineKeys + host, Stamp: 0}},
@@ -383,6 +383,14 @@
 			like[h.rec.Shard] += h.rec.Count
 		}
 	}
+	for _, u := range n.unknown {
+		if u.busy {
+			cpus[u.shard] += n.typeOf(u.typ).CPUs
+			if u.zone == zone && u.typ == typ {
+				like[u.shard]++
+			}
+		}
+	}
 	best := ""
 	for _, name := range n.shardNames() {
 		if n.shards[name].rec == nil {
