--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -345,6 +345,12 @@
 		undo(u.spec, picks, rooms)
 		return false, true
 	}
+	// Copies of an array wait at several shards: one that could start only a few
+	// of the tasks leaves the chunk to a better one for a while.
+	if u.c == nil && u.spec.Shape == protocol.Array && 2*len(picks) < need && now.Sub(u.j.seen) < 2*time.Second {
+		undo(u.spec, picks, rooms)
+		return false, true
+	}
 	if whole && u.c != nil && len(u.c.rec.Open) > 0 {
 		undo(u.spec, picks, rooms)
 		return false, false // the old attempt has to be gone first
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -337,6 +337,11 @@
 
 // adopt records a machine that nobody expected, in the shard with the fewest.
 func (n *Node) adopt(host, typ, zone string, spot bool, addr string) {
+	// The leader alone chooses: several nodes that choose at once, each blind to
+	// the others, would all put their machines into the same shard.
+	if n.leadStamp == 0 || (n.lead != n.cfg.Node && n.nodes[n.lead].stamp != 0) {
+		return
+	}
 	u, seen := n.unknown[host]
 	now := time.Now()
 	if !seen {
@@ -364,8 +369,8 @@
 		})
 }
 
-// smallestShard is the owned shard with the least room, those with the fewest
-// machines of the zone and type first.
+// smallestShard is the shard with the fewest machines of a zone and type, the
+// one with the least room among equals.
 func (n *Node) smallestShard(zone, typ string) string {
 	cpus, like := make(map[string]float64), make(map[string]int)
 	for _, m := range n.machines {
@@ -392,10 +397,9 @@
 		}
 	}
 	best := ""
+	// Shards that nobody owns yet count as well: at the first start the first
+	// one to be acquired would otherwise get every machine.
 	for _, name := range n.shardNames() {
-		if n.shards[name].rec == nil {
-			continue
-		}
 		if best == "" || like[name] < like[best] || (like[name] == like[best] && cpus[name] < cpus[best]) {
 			best = name
 		}
