Attach a winner's claim even while a try of our own is under way

A node that lost a claim race kept the winner's claim unattached to its job. When it later took the winner's shard over, the running tasks looked like strays and were stopped.

--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -232,14 +232,17 @@
 	if c == nil {
 		c = &claim{key: key, ref: ref, chunk: chunk}
 		n.claims[key] = c
-		if j != nil {
-			n.attach(j, c)
-		} else {
-			if n.orphans[ref] == nil {
-				n.orphans[ref] = make(map[string]*claim)
-			}
-			n.orphans[ref][key] = c
+	}
+	// Also when this node has a try of its own under way and another shard's
+	// claim arrives: left unattached, the winner's tasks would look like strays
+	// to this node and be stopped once it takes that shard over.
+	if j != nil && j.rec != nil {
+		n.attach(j, c)
+	} else {
+		if n.orphans[ref] == nil {
+			n.orphans[ref] = make(map[string]*claim)
 		}
+		n.orphans[ref][key] = c
 	}
 	c.rec, c.stamp = r, stamp
 }
