--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// script answers calls of /multi by a function and keeps the bodies.
+type script struct {
+	mu     sync.Mutex
+	bodies []string
+	answer func(n int, body string) (int, string, error)
+}
+
+func (s *script) Do(_ context.Context, _, _, _ string, body []byte) (int, []byte, error) {
+	s.mu.Lock()
+	s.bodies = append(s.bodies, string(body))
+	n := len(s.bodies)
+	s.mu.Unlock()
+	status, out, err := s.answer(n, string(body))
+	return status, []byte(out), err
+}
+
+func run(t *testing.T, s *script, submit func(c *Client, done func(name string) func(Result))) map[string]error {
+	results := make(map[string]error)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := New(s, "x", protocol.StateLimits{RPS: 100, WriteRPS: 100, ValueBytes: 64, TxnOps: 4}, slog.New(slog.DiscardHandler))
+		go c.Run(ctx)
+		var mu sync.Mutex
+		submit(c, func(name string) func(Result) {
+			return func(r Result) { mu.Lock(); results[name] = r.Err; mu.Unlock() }
+		})
+		time.Sleep(20 * time.Second)
+		cancel()
+		time.Sleep(time.Second)
+	})
+	return results
+}
+
+func set(key string, stamp uint64, done func(Result)) *Txn {
+	return &Txn{Conds: []Cond{{key, stamp}}, Ops: []Op{{Key: key, Value: 1}}, Prio: PrioRest, Done: done}
+}
+
+// A failed condition must not sink its neighbours in the same request.
+func TestConflictSparesNeighbours(t *testing.T) {
+	s := &script{answer: func(n int, body string) (int, string, error) {
+		if strings.Contains(body, root+"b") {
+			return 409, `{"failed":["` + root + `b"],"epoch":5}`, nil
+		}
+		return 200, `{"epoch":6}`, nil
+	}}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) {
+		for _, key := range []string{"a", "b", "c"} {
+			c.Submit(set(key, 0, done(key)))
+		}
+	})
+	if got["a"] != nil || got["c"] != nil || !errors.Is(got["b"], ErrConflict) || len(s.bodies) != 2 {
+		t.Fatalf("%v after %d requests", got, len(s.bodies))
+	}
+}
+
+// Without an answer a transaction is sent again under the same conditions: if
+// the first was applied after all, the second conflicts and changes nothing.
+func TestUnknownFateIsSettledByTheConditions(t *testing.T) {
+	s := &script{answer: func(n int, body string) (int, string, error) {
+		if n == 1 {
+			return 0, "", errors.New("timeout")
+		}
+		return 409, `{"failed":["` + root + `a"],"epoch":5}`, nil
+	}}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) { c.Submit(set("a", 0, done("a"))) })
+	if !errors.Is(got["a"], ErrConflict) || len(s.bodies) != 2 || s.bodies[0] != s.bodies[1] {
+		t.Fatalf("%v, requests %v", got, s.bodies)
+	}
+}
+
+func TestLimitsAndDeadlines(t *testing.T) {
+	s := &script{answer: func(int, string) (int, string, error) { return 503, "", nil }}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) {
+		big := set("big", 0, done("big"))
+		big.Ops[0].Value = strings.Repeat("x", 100)
+		c.Submit(big)
+		late := set("late", 0, done("late"))
+		late.Deadline = time.Now().Add(time.Second)
+		c.Submit(late)
+	})
+	if !errors.Is(got["big"], ErrInvalid) || !errors.Is(got["late"], ErrRefused) {
+		t.Fatal(got)
+	}
+	s = &script{answer: func(_ int, body string) (int, string, error) {
+		if n := strings.Count(body, `"set"`); n > 4 {
+			return 400, "", nil
+		}
+		return 200, `{"epoch":6}`, nil
+	}}
+	got = run(t, s, func(c *Client, done func(string) func(Result)) {
+		for i := range 11 {
+			key := string(rune('a' + i))
+			c.Submit(set(key, 0, done(key)))
+		}
+	})
+	if len(got) != 11 || len(s.bodies) != 3 {
+		t.Fatalf("%d results after %d requests", len(got), len(s.bodies))
+	}
+}
+
+// A batch never holds two writes of a key nor two versions of a condition.
+func TestBatchesAreConsistent(t *testing.T) {
+	s := &script{answer: func(int, string) (int, string, error) { return 200, `{"epoch":6}`, nil }}
+	run(t, s, func(c *Client, done func(string) func(Result)) {
+		c.Submit(set("a", 1, done("1")))
+		c.Submit(set("a", 2, done("2")))
+		c.Submit(&Txn{Conds: []Cond{{"a", 3}}, Prio: PrioUser, Done: done("3")})
+	})
+	if len(s.bodies) != 3 {
+		t.Fatalf("%d requests: %v", len(s.bodies), s.bodies)
+	}
+}
+
+func TestClaimRecord(t *testing.T) {
+	c := &Claim{Shard: "s", First: 16, Count: 10, Open: []Placement{{Task: 17, Try: 3, Host: "vm-1"}}}
+	for _, task := range []int{16, 25, 20} {
+		c.SetDone(task)
+	}
+	raw, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var d Claim
+	if err := json.Unmarshal(raw, &d); err != nil {
+		t.Fatal(err)
+	}
+	if d.NumDone() != 3 || !d.IsDone(25) || d.IsDone(17) || d.IsDone(15) || d.Full() || d.Open[0] != c.Open[0] {
+		t.Fatalf("%s -> %+v", raw, d)
+	}
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,142 @@
+package protocol
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodJob = `{"ref":"wk-000412","jobclass":"train","owner":"vision","shape":"group","rank":"high","shards":16,
+ "cpus":8.0,"cards":1.0,"memGb":64.0,"bundle":"img-07","sizeGb":6.2,"flavours":["g8"],"hall":null,"samePlace":true,
+ "spread":false,"loaner":true,"expectS":240.0,"snapshotEveryS":30.0,"snapshotS":4.0,"dueS":900.0,"news":1}`
+
+func TestParseSubmission(t *testing.T) {
+	s, err := ParseSubmission([]byte(goodJob))
+	if err != nil || s.Expect() != 4*time.Minute || s.Due() != 15*time.Minute || s.Zone != "" || !s.SameZone || s.Prio() != 2 {
+		t.Fatalf("%+v %v", s, err)
+	}
+	faults := map[string][2]string{
+		"no id":          {`"ref":"wk-000412",`, ``},
+		"bad id":         {`wk-000412`, `wk-00 412`},
+		"null count":     {`"shards":16`, `"shards":null`},
+		"no tasks":       {`"shards":16`, `"shards":0`},
+		"too many":       {`"shards":16`, `"shards":100001`},
+		"half a task":    {`"shards":16`, `"shards":1.5`},
+		"text amount":    {`"cpus":8.0`, `"cpus":"8"`},
+		"negative":       {`"memGb":64.0`, `"memGb":-1`},
+		"overflow":       {`"sizeGb":6.2`, `"sizeGb":1e999`},
+		"unknown shape":  {`"group"`, `"ring"`},
+		"unknown rank":   {`"high"`, `"highest"`},
+		"negative due":   {`"dueS":900.0`, `"dueS":-5`},
+		"types no list":  {`["g8"]`, `"g8"`},
+		"not an object":  {goodJob, `[1]`},
+		"null":           {goodJob, `null`},
+		"not JSON":       {goodJob, `{"ref":`},
+		"boolean as int": {`"samePlace":true`, `"samePlace":1`},
+	}
+	for name, f := range faults {
+		body := strings.Replace(goodJob, f[0], f[1], 1)
+		if _, err := ParseSubmission([]byte(body)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestRefOfReadsAnyRetry(t *testing.T) {
+	if ref, err := RefOf([]byte(`{"ref":"wk-1","shards":"many"}`)); err != nil || ref != "wk-1" {
+		t.Fatal(ref, err)
+	}
+	for _, body := range []string{``, `[]`, `{"ref":7}`, `{"ref":"x"}`, `{"ref":"wk-"}`, `"wk-1"`} {
+		if _, err := RefOf([]byte(body)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+}
+
+func TestRoutes(t *testing.T) {
+	cases := []struct {
+		method, target string
+		route          Route
+		id             string
+	}{
+		{"POST", "/submissions", Submit, ""}, {"GET", "/submissions", WrongMethod, ""},
+		{"GET", "/submissions/wk-1", Query, "wk-1"}, {"GET", "/submissions/wk-1?x=1", Query, "wk-1"},
+		{"POST", "/submissions/wk-1/abort", Abort, "wk-1"}, {"GET", "/submissions/wk-1/abort", WrongMethod, ""},
+		{"DELETE", "/submissions/wk-1", WrongMethod, ""}, {"GET", "/submissions/", NotFound, ""},
+		{"GET", "/submissions/a/b", NotFound, ""}, {"POST", "/v1/report", WorkerReport, ""},
+		{"GET", "/ready", Ready, ""}, {"GET", "/readyz", NotFound, ""},
+	}
+	for _, c := range cases {
+		if route, id := Match(c.method, c.target); route != c.route || id != c.id {
+			t.Errorf("%s %s: %v %q", c.method, c.target, route, id)
+		}
+	}
+}
+
+const goodSettings = `node = "a"
+area = "z"
+public_addr = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+later = "unknown keys are ignored"
+[[others]]
+node = "b"
+area = "z"
+endpoint = "127.0.0.1:3"
+[outside]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[cluster]
+zones = ["z"]
+[cluster.workers]
+report_s = 2.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 8.0
+cancel_s = 40.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 8.0
+txn_ops = 12
+[cluster.cloud]
+rps = 8.0
+list_lag_s = 5.0
+[cluster.machine_limits]
+cpu_share = 0.3
+ram_mb = 234.0
+max_connections = 1800
+`
+
+func TestSettingsNameFileKeyAndReason(t *testing.T) {
+	load := func(text string) (Settings, string, error) {
+		file := filepath.Join(t.TempDir(), "s.toml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := LoadSettings(file)
+		return s, file, err
+	}
+	s, _, err := load(goodSettings)
+	if err != nil || s.Workers.Lease != 10*time.Second || s.StateLimit.ValueBytes != 8192 || s.Nodes != 2 {
+		t.Fatalf("%+v %v", s, err)
+	}
+	for _, c := range [][3]string{
+		{`node = "a"`, ``, "node: is missing"},
+		{`lease_s = 10.0`, `lease_s = -1.0`, "cluster.workers.lease_s"},
+		{`lease_s = 10.0`, `lease_s = "long"`, "lease_s"},
+		{`"127.0.0.1:3"`, `"peer.example:3"`, "others[0].endpoint"},
+		{`node = "b"`, `node = "a"`, "others[0].node"},
+		{`zones = ["z"]`, `zones = []`, "cluster.zones"},
+		{`txn_ops = 12`, `txn_ops = 1`, "cluster.state.txn_ops"},
+	} {
+		_, file, err := load(strings.Replace(goodSettings, c[0], c[1], 1))
+		var se *SettingError
+		if !errors.As(err, &se) || !strings.HasPrefix(err.Error(), file+": ") || !strings.Contains(err.Error(), c[2]) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v", fmt.Sprint(c), err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/server_test.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestServerAndClient talks over a real connection: keep-alive, a late answer
+// from another goroutine, a malformed request, and a refused connection.
+func TestServerAndClient(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ready := make(chan struct{})
+	srv := NewServer(ServerConfig{Addr: addr, MaxConns: 10, Limits: testLimits, Idle: time.Minute, Stall: time.Minute},
+		func(method, target string, body []byte, reply func(Response)) {
+			if target == "/late" {
+				go reply(Response{Status: 200, Body: body})
+				return
+			}
+			reply(Response{Status: 404})
+		}, slog.New(slog.DiscardHandler))
+	go func() {
+		if err := srv.Run(ctx, func() { close(ready) }); err != nil {
+			t.Error(err)
+		}
+	}()
+	<-ready
+	c := NewClient(4, 2, time.Minute)
+	for range 3 {
+		status, body, err := c.Do(ctx, addr, "POST", "/late", []byte(`{"a":1}`))
+		if err != nil || status != 200 || string(body) != `{"a":1}` {
+			t.Fatalf("%d %q %v", status, body, err)
+		}
+		if status, _, err := c.Do(ctx, addr, "GET", "/other", nil); err != nil || status != 404 {
+			t.Fatalf("%d %v", status, err)
+		}
+	}
+	if got := srv.open.Load(); got != 1 {
+		t.Fatalf("%d connections, wanted one kept alive", got)
+	}
+	if status, _, err := c.Do(ctx, addr, "bad", "/x", nil); err != nil || status != 400 {
+		t.Fatalf("malformed request: %d %v", status, err)
+	}
+	gone, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := gone.Addr().String()
+	gone.Close()
+	if _, _, err := c.Do(ctx, dead, "GET", "/", nil); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("a refused connection must count as not sent, got %v", err)
+	}
+}
