--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -73,7 +73,7 @@
 	}
 	m.returning = true
 	rec := m.rec
-	rec.State = ledger.Returning
+	rec.State, rec.Images = ledger.Returning, nil
 	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
 		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 0, func(error) { m.returning = false })
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -82,6 +82,7 @@
 	speeds    map[string]float64
 	refused   map[string]time.Time // type/zone/kind: not to be asked for before
 	fleet     fleetState
+	cardsAt   time.Time // when a job with cards was last seen to come in
 	ctx       context.Context
 }
 
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		for _, u := range n.machines[r.host].images {
-			l.Holds[u.name] = max(l.Holds[u.name], r.cpus)
+			l.Holds[u.Name] = max(l.Holds[u.Name], r.cpus)
 		}
 	}
 	for _, u := range n.queueOf(s, time.Now()) {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -27,6 +27,7 @@
 	ends         []ending
 	victims      []victim
 	recentErrors map[string]bool
+	kept         bool // whole and with cards, kept from arrays without
 }
 
 // ending is a running task with the time its room is expected back.
@@ -52,6 +53,22 @@
 	return r.cpus+eps >= s.CPUs && r.gpus+eps >= s.GPUs && r.mem+eps >= s.MemGB
 }
 
+// whole tells whether a machine with cards runs nothing.
+func (r *room) whole() bool {
+	return r.usable && r.total.GPUs > 0 && r.gpus+eps >= r.total.GPUs && r.cpus+eps >= r.total.CPUs
+}
+
+// keepCards sets some whole machines with cards apart, for jobs that need the
+// cards: displacing an array's tasks for each of them throws work away.
+func keepCards(rooms []*room, count int) {
+	for _, r := range rooms {
+		if count > 0 && r.whole() {
+			r.kept = true
+			count--
+		}
+	}
+}
+
 // allowed tells whether a job's tasks may run on such a machine at all.
 func allowed(s *protocol.Submission, typ, zone string, spot bool) bool {
 	return (len(s.Types) == 0 || slices.Contains(s.Types, typ)) &&
@@ -111,6 +128,9 @@
 		if r.reservedFor != "" && r.reservedFor != ref && !backfills(s, r, est, now) {
 			continue
 		}
+		if r.kept && s.GPUs == 0 && s.Shape == protocol.Array {
+			continue
+		}
 		score := rank(s, r, z)
 		if best < 0 || less(score, bestScore) {
 			best, bestScore = i, score
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -39,6 +39,10 @@
 // all of its own may be full, or without an owner.
 const widenAfter = 4 * time.Second
 
+// cardsRecent is how long after the latest job with cards machines are kept
+// for the next.
+const cardsRecent = 2 * time.Minute
+
 // queueOf is a shard's queue: by priority, then first come.
 func (n *Node) queueOf(s *shard, now time.Time) []*unit {
 	var q []*unit
@@ -120,6 +124,9 @@
 	for _, r := range out {
 		n.chargeStrays(r, counted)
 	}
+	if now.Sub(n.cardsAt) < cardsRecent {
+		keepCards(out, n.pol.CardReserve)
+	}
 	return out
 }
 
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -155,6 +155,9 @@
 		}
 		j = &job{ref: ref, claims: make(map[int]*claim), seen: time.Now(), lost: make(map[int]time.Time)}
 		n.jobs[ref] = j
+		if r.Spec != nil && r.Spec.GPUs > 0 && !r.Final() {
+			n.cardsAt = j.seen
+		}
 	}
 	if r.Spec == nil && j.rec != nil && j.rec.Spec != nil {
 		c := *r
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -23,7 +23,9 @@
 	tasks   map[string]*protocol.TaskReport
 	heard   time.Time // latest sign of life
 	running map[string]time.Time
-	images  []imageUse // most recently used last
+	images  []ledger.ImageUse // most recently used last
+	noting  bool              // its images are being recorded
+	noted   time.Time
 	warned  time.Time
 
 	queue    []protocol.Command // not sent yet
@@ -56,11 +58,6 @@
 	session uint64
 }
 
-type imageUse struct {
-	name string
-	gb   float64
-}
-
 func (m *machine) address() string {
 	if m.rep != nil && m.rep.Addr != "" {
 		return m.rep.Addr
@@ -80,6 +77,9 @@
 		delete(n.unknown, host)
 	}
 	m.rec, m.stamp = *r, stamp
+	if len(m.images) == 0 {
+		m.images = slices.Clone(r.Images)
+	}
 	if r.State == ledger.Gone {
 		// Only the tombstone stays in memory.
 		m.rep, m.tasks, m.images, m.queue, m.inflight, m.unsure = nil, nil, nil, nil, nil, nil
@@ -89,18 +89,18 @@
 
 // holds tells whether a machine's cache holds an image, as far as known.
 func (m *machine) holds(image string) bool {
-	return slices.ContainsFunc(m.images, func(u imageUse) bool { return u.name == image })
+	return slices.ContainsFunc(m.images, func(u ledger.ImageUse) bool { return u.Name == image })
 }
 
 func (m *machine) touchImage(name string, gb, cache float64) {
-	m.images = slices.DeleteFunc(m.images, func(u imageUse) bool { return u.name == name })
-	m.images = append(m.images, imageUse{name, gb})
+	m.images = slices.DeleteFunc(m.images, func(u ledger.ImageUse) bool { return u.Name == name })
+	m.images = append(m.images, ledger.ImageUse{Name: name, GB: gb})
 	total := 0.0
 	for _, u := range m.images {
-		total += u.gb
+		total += u.GB
 	}
 	for len(m.images) > 1 && cache > 0 && total > cache {
-		total -= m.images[0].gb
+		total -= m.images[0].GB
 		m.images = m.images[1:]
 	}
 }
@@ -456,6 +456,7 @@
 	if quiet > n.pol.Probe && !m.probing {
 		n.probe(m)
 	}
+	n.noteImages(s, m, now)
 	if len(m.unsure) > 0 && quiet < n.pol.Suspect {
 		s.raise = true // it lives, so a new token settles what may still act there
 	}
@@ -473,6 +474,25 @@
 	n.returnMachine(s, m)
 }
 
+// noteGap spaces the records of a machine's images out: they are advice.
+const noteGap = 8 * time.Second
+
+// noteImages records which images a machine holds. An owner that does not know
+// sends work to machines that must fetch for many seconds, and did so after
+// every restart of a controller.
+func (n *Node) noteImages(s *shard, m *machine, now time.Time) {
+	same := func(u ledger.ImageUse) bool { return m.holds(u.Name) }
+	if m.noting || m.returning || now.Sub(m.noted) < noteGap ||
+		(len(m.images) == len(m.rec.Images) && !slices.ContainsFunc(m.rec.Images, func(u ledger.ImageUse) bool { return !same(u) })) {
+		return
+	}
+	m.noting, m.noted = true, now
+	rec := m.rec
+	rec.Images = slices.Clone(m.images)
+	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
+		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 5*time.Second, func(error) { m.noting = false })
+}
+
 // probe asks a machine for its account. An answer proves it alive even when
 // its reports do not arrive.
 func (n *Node) probe(m *machine) {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -46,6 +46,14 @@
 	Addr  string `json:"a,omitempty"`
 	State string `json:"x,omitempty"` // "", Returning or Gone
 	Born  int64  `json:"b,omitempty"` // Unix milliseconds of the rental, for boot patience only
+	// Images it holds, least recently used first, so that the next owner knows.
+	Images []ImageUse `json:"i,omitempty"`
+}
+
+// ImageUse is an image in a machine's cache.
+type ImageUse struct {
+	Name string  `json:"n"`
+	GB   float64 `json:"g,omitempty"`
 }
 
 // States of a machine. Both are final: such a machine is given nothing more.
