--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -220,6 +220,13 @@
 			}
 		}
 	}
+	for _, g := range n.gathers {
+		if h := g.holds[s.name]; h != nil && h.stamp != 0 && g.stamp != 0 {
+			for host := range h.rec.Hosts {
+				work[host] = true // held for a wide job about to start
+			}
+		}
+	}
 	spare := 0.0
 	rooms := n.rooms(s, now)
 	for _, r := range rooms {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -71,6 +71,7 @@
 	leadAt   time.Time
 	leadBusy bool
 	unknown  map[string]unknownHost
+	gathers  map[string]*gathering
 	types    map[string]*protocol.MachineType
 
 	leadStamp uint64
@@ -122,7 +123,7 @@
 		stamps: make(map[string]uint64), nodes: make(map[string]nodeSeen), shards: make(map[string]*shard),
 		machines: make(map[string]*machine), jobs: make(map[string]*job), claims: make(map[string]*claim),
 		orphans: make(map[string]map[string]*claim), final: make(map[string]finalJob),
-		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost),
+		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost), gathers: make(map[string]*gathering),
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), speeds: make(map[string]float64), refused: make(map[string]time.Time),
 		ctx: context.Background(),
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -61,7 +61,7 @@
 				if queued && now.Sub(j.lost[i]) > retryClaim {
 					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
 				}
-			case c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && !c.halted:
+			case c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && (!c.halted() || len(c.rec.Open) == 0):
 				u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec}
 				if u.waiting() > 0 {
 					q = append(q, u)
@@ -89,7 +89,10 @@
 
 // rooms is what each machine of a shard has free: everything that is or may
 // be on it counts, recorded or only reported.
-func (n *Node) rooms(s *shard, now time.Time) []*room {
+func (n *Node) rooms(s *shard, now time.Time) []*room { return n.roomsBut(s, "", now) }
+
+// roomsBut is rooms, with what is held for the job but counted as free.
+func (n *Node) roomsBut(s *shard, but string, now time.Time) []*room {
 	byHost := make(map[string]*room)
 	var out []*room
 	for _, m := range n.machines {
@@ -124,6 +127,7 @@
 	for _, r := range out {
 		n.chargeStrays(r, counted)
 	}
+	n.chargeHolds(s, but, byHost)
 	if now.Sub(n.cardsAt) < cardsRecent {
 		keepCards(out, n.pol.CardReserve)
 	}
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -48,8 +48,12 @@
 			continue
 		}
 		n.settle(s, now)
+		n.hold(s, now)
 		n.schedule(s, now)
 	}
+	if n.leading() {
+		n.gather(now)
+	}
 	for ref, set := range n.orphans {
 		n.lookUp(ref, set, now)
 	}
@@ -100,7 +104,7 @@
 func (n *Node) claimKeys(shard string) []string {
 	var keys []string
 	for key, c := range n.claims {
-		if c.rec != nil && c.rec.Shard == shard {
+		if c.rec != nil && (c.rec.Shard == shard || (c.rec.Shard == "" && n.touches(c, shard))) {
 			keys = append(keys, key)
 		}
 	}
@@ -121,7 +125,14 @@
 	next := c.rec.Clone()
 	next.Open = next.Open[:0]
 	changed := false
+	if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 0 && len(c.rec.Open)+c.rec.NumDone() < c.rec.Count {
+		c.halt = c.rec.Try // it was placed whole, so a task has been lost
+	}
 	for _, p := range c.rec.Open {
+		if m := n.machines[p.Host]; c.rec.Shard == "" && m != nil && m.rec.Shard != s.name {
+			next.Open = append(next.Open, p) // its own shard's owner judges it
+			continue
+		}
 		switch n.judge(s, j, c, p, now) {
 		case completed:
 			next.SetDone(p.Task)
@@ -131,7 +142,7 @@
 			delete(c.evict, p.Task)
 			changed = true
 			if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 1 {
-				c.halted = true
+				c.halt = c.rec.Try
 			}
 		default:
 			next.Open = append(next.Open, p)
@@ -144,9 +155,6 @@
 		}
 		changed = true
 	}
-	if len(next.Open) == 0 {
-		c.halted = false
-	}
 	if next.Full() && c.spec.Shape != protocol.Service && !j.rec.Final() && n.finishJob(s, j, c, next) {
 		return
 	}
@@ -247,7 +255,7 @@
 	if c.spec.SnapshotEvery() > 0 {
 		grace = c.spec.Snapshot() + 2*time.Second
 	}
-	if c.halted {
+	if c.halted() {
 		return grace, true
 	}
 	since, ok := c.evict[p.Task]
@@ -333,8 +341,11 @@
 		return nil, nil, nil, false
 	}
 	use := [2]float64{float64(len(next.Open)) * c.spec.CPUs, float64(len(next.Open)) * c.spec.GPUs}
+	if next.Shard == "" {
+		shard = "*" + c.ref // several owners change it, so it has an entry of its own
+	}
 	for _, other := range n.claims {
-		if other == c || other.spec == nil || other.spec.Team != c.spec.Team {
+		if next.Shard == "" || other == c || other.spec == nil || other.spec.Team != c.spec.Team {
 			continue
 		}
 		rec := other.rec
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -31,18 +31,23 @@
 
 // claim is a claimed chunk; pend is the version being committed, if any.
 type claim struct {
-	key    string
-	ref    string
-	chunk  int
-	rec    *ledger.Claim // nil while the first version is being committed
-	stamp  uint64
-	pend   *ledger.Claim
-	spec   *protocol.Submission
-	evict  map[int]time.Time // tasks to be stopped, and since when
-	again  time.Time         // earliest next commit after a conflict
-	halted bool              // gang: the attempt is being ended
+	key   string
+	ref   string
+	chunk int
+	rec   *ledger.Claim // nil while the first version is being committed
+	stamp uint64
+	pend  *ledger.Claim
+	spec  *protocol.Submission
+	evict map[int]time.Time // tasks to be stopped, and since when
+	again time.Time         // earliest next commit after a conflict
+	halt  uint64            // gang: the attempt that is being ended
 }
 
+// halted tells whether a gang's present attempt is being ended. The attempt's
+// number decides: with several owners not each of them sees an attempt's last
+// task go, and a mark that outlived its attempt would end the next one too.
+func (c *claim) halted() bool { return c.rec != nil && c.halt != 0 && c.halt == c.rec.Try }
+
 type teamUse struct {
 	rec   ledger.Team
 	stamp uint64
@@ -92,6 +97,12 @@
 		} else {
 			n.hires[name] = &hire{name: name, rec: *r, stamp: stamp}
 		}
+	case strings.HasPrefix(key, ledger.GatherKeys):
+		r, _ := rec.(*ledger.Gather)
+		n.storeGather(strings.TrimPrefix(key, ledger.GatherKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.HoldKeys):
+		r, _ := rec.(*ledger.Hold)
+		n.storeHold(strings.TrimPrefix(key, ledger.HoldKeys), r, stamp)
 	case key == ledger.LeaderKey:
 		if r, _ := rec.(*ledger.Leader); r == nil {
 			n.lead, n.leadStamp = "", 0
@@ -137,6 +148,10 @@
 		return new(ledger.Team)
 	case strings.HasPrefix(key, ledger.HireKeys):
 		return new(ledger.Hire)
+	case strings.HasPrefix(key, ledger.GatherKeys):
+		return new(ledger.Gather)
+	case strings.HasPrefix(key, ledger.HoldKeys):
+		return new(ledger.Hold)
 	case key == ledger.LeaderKey:
 		return new(ledger.Leader)
 	}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -21,6 +21,8 @@
 	ClaimKeys   = "c/" // c/<ref>/<chunk>: a claimed chunk, its placements and completions
 	TeamKeys    = "t/" // t/<team>: what a limited team has reserved, by shard
 	HireKeys    = "h/" // h/<name>: a rental that may have been sent
+	GatherKeys  = "g/" // g/<ref>: the leader gathers room for a job, attached to its lease
+	HoldKeys    = "o/" // o/<ref>/<shard>: room that a shard holds for it, attached to the owner's lease
 	LeaderKey   = "lead"
 )
 
@@ -104,7 +106,7 @@
 // Claim is a chunk of a job held by one shard: the conditional claim of the
 // design. First is its first task, Count their number; Done is a bitmap.
 type Claim struct {
-	Shard string      `json:"h"`
+	Shard string      `json:"h"` // empty: on machines of several shards, each owner minds its own
 	First int         `json:"f,omitempty"`
 	Count int         `json:"n"`
 	Done  []byte      `json:"d,omitempty"`
@@ -161,6 +163,16 @@
 	Born  int64  `json:"b"`
 }
 
+// Gather asks the owners of shards to hold room for a job wider than any shard.
+type Gather struct {
+	Until int64 `json:"u"` // Unix milliseconds, for tidiness; the lease decides
+}
+
+// Hold is what a shard holds for such a job: tasks by host.
+type Hold struct {
+	Hosts map[string]int `json:"m"`
+}
+
 // Leader names the controller that hires and gathers.
 type Leader struct {
 	Node string `json:"o"`
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -24,7 +24,11 @@
 		time.Sleep(2 * time.Second)
 	}
 	says := func(w *World, answers ...string) {
-		w.SetNode("n", func(_, _ string, _ []byte, reply func(transport.Response)) {
+		w.SetNode("n", func(_, target string, _ []byte, reply func(transport.Response)) {
+			if target == "/v1/report" {
+				reply(transport.Response{Status: 503})
+				return
+			}
 			status, body := 200, answers[0]
 			if body == "404" {
 				status = 404
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -357,6 +357,10 @@
 	}
 	if j.Run > 0 {
 		m.after(name, t, j.Run, func() {
+			if j.Spec.Shape == protocol.Gang {
+				w.finishGang(j, t.try)
+				return
+			}
 			_, num, _ := protocol.SplitTask(name)
 			j.done[num] = true
 			m.exit(name, t, protocol.CauseDone)
@@ -364,6 +368,20 @@
 	}
 }
 
+// finishGang ends a gang's attempt: its tasks complete together.
+func (w *World) finishGang(j *Job, try uint64) {
+	for k := range j.Spec.Tasks {
+		j.done[k] = true
+	}
+	for _, m := range w.machines {
+		for name, t := range m.tasks {
+			if ref, _, _ := protocol.SplitTask(name); ref == j.Spec.Ref && t.try == try && t.on() && !m.gone {
+				m.exit(name, t, protocol.CauseDone)
+			}
+		}
+	}
+}
+
 // Running counts the tasks of a job that are on machines.
 func (w *World) Running(ref string) int {
 	w.mu.Lock()
