--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -36,7 +36,8 @@
 	stopped  map[string]time.Time
 
 	probing    bool
-	returning  bool // a commit or a call to return it is under way
+	mute       time.Time // when it last failed to answer a direct question
+	returning  bool      // a commit or a call to return it is under way
 	returnNext time.Time
 	idleSince  time.Time
 	draining   time.Time            // being emptied since, to be returned
@@ -461,10 +462,14 @@
 		s.raise = true // it lives, so a new token settles what may still act there
 	}
 	fence := n.pol.Fence
+	if quiet > n.pol.FenceUp && n.runsReplicas(m.host) {
+		fence = n.pol.FenceUp
+	}
 	if !m.warned.IsZero() {
 		fence = n.pol.Suspect // it was announced to go
 	}
-	if quiet <= fence || m.returning {
+	// A direct question must have failed since: reports alone may be held up.
+	if quiet <= fence || m.returning || !m.mute.After(m.heard) {
 		return
 	}
 	if silent, total := n.silentShare(s, now); s.name == n.cfg.Node && n.otherLive() != "" && total >= 3 && silent*10 >= total*8 && quiet < 3*fence {
@@ -506,6 +511,20 @@
 		m.probing = false
 		if err == nil && status == 200 && r.Host == m.host {
 			n.observe(m, &r)
+			return
 		}
+		m.mute = time.Now()
 	}()
 }
+
+func (n *Node) runsReplicas(host string) bool {
+	for _, c := range n.claims {
+		if c.rec == nil || c.spec == nil || c.spec.Shape != protocol.Service {
+			continue
+		}
+		if slices.ContainsFunc(c.rec.Open, func(p ledger.Placement) bool { return p.Host == host }) {
+			return true
+		}
+	}
+	return false
+}
