--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -139,6 +139,9 @@
 			delete(c.evict, p.Task)
 			changed = true
 		case gone:
+			if _, moved := c.evict[p.Task]; !moved && c.spec.Shape == protocol.Service && !j.rec.Final() {
+				n.log.Info("replica lost", "task", protocol.TaskName(c.ref, p.Task), "try", p.Try, "host", p.Host)
+			}
 			delete(c.evict, p.Task)
 			changed = true
 			if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 1 {
@@ -307,7 +310,13 @@
 		return
 	}
 	delete(m.running, task)
-	clear(m.errorJobs)
+	for ref, at := range m.errorJobs {
+		// Only what began after a failure speaks for the machine: a sick one
+		// may well complete what it began before.
+		if began.After(at) {
+			delete(m.errorJobs, ref)
+		}
+	}
 	ratio := min(max(now.Sub(began).Seconds()/spec.ExpectS, 0.1), 10)
 	if old, ok := n.ratios[spec.Class]; ok {
 		ratio = old*0.9 + ratio*0.1
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -121,6 +121,7 @@
 		if t.Phase == protocol.TaskRunning || t.Phase == protocol.TaskWaiting {
 			if _, ok := m.running[t.Task]; !ok {
 				m.running[t.Task] = now
+				n.log.Debug("task runs", "task", t.Task, "try", t.Try, "host", m.host)
 				if spec := n.specOf(t.Task); spec != nil {
 					m.touchImage(spec.Image, spec.ImageGB, n.typeOf(m.rec.Type).CacheGB)
 				}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -32,7 +32,7 @@
 		{"copies = 0", "must be from 1"},
 		{"colour = 3", "unknown name"},
 		{"copies", "wants name = expression"},
-		{"fence_after = 2\nsuspect_after = 1.5", "must be above"}, {"fence_replicas_after = 2", "must be above"},
+		{"fence_after = 2\nsuspect_after = 3", "must be above"}, {"fence_replicas_after = 2", "must be above"},
 	}
 	for _, c := range cases {
 		file := filepath.Join(t.TempDir(), "p")
