--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -209,6 +209,20 @@
 	return r, start
 }
 
+// soonestFetch is the shortest fetch among the machines that may run a job.
+func soonestFetch(s *protocol.Submission, rooms []*room, z *zoneRule) time.Duration {
+	best := time.Duration(-1)
+	for _, r := range rooms {
+		if !r.usable || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || !canEver(s, &r.total) {
+			continue
+		}
+		if f := r.fetch(s); best < 0 || f < best {
+			best = f
+		}
+	}
+	return max(best, 0)
+}
+
 // fetch is how long the machine should need to get a job's image.
 func (r *room) fetch(s *protocol.Submission) time.Duration {
 	if r.images(s.Image) || r.total.PullGBps <= 0 {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -242,7 +242,7 @@
 		blocked = true
 		z := n.zonesOf(u)
 		held, start := reserve(u.spec, u.j.ref, rooms, &z, now)
-		if held == nil || start.After(n.startBy(u, now)) {
+		if held == nil || start.After(n.startBy(u, rooms, &z, now)) {
 			if n.makeRoom(s, u, rooms, now) && held != nil && held.shadow.After(now) {
 				held.reservedFor = "" // the displaced room serves instead
 			}
@@ -251,23 +251,46 @@
 }
 
 // startBy is when a job must start for the nearest of its objectives that can
-// still be met. Until then it waits for room rather than displace others. With
-// no objective left it is late already.
-func (n *Node) startBy(u *unit, now time.Time) time.Time {
+// still be met if others are displaced, the fetch of its image included. Until
+// then it waits for room: displacing for an objective that is lost anyway only
+// throws work away.
+func (n *Node) startBy(u *unit, rooms []*room, z *zoneRule, now time.Time) time.Time {
+	if u.spec.Shape == protocol.Array {
+		return now.Add(time.Hour) // arrays displace nothing for a wait alone
+	}
+	soonest := now.Add(soonestFetch(u.spec, rooms, z))
 	best := time.Time{}
 	for _, o := range n.cfg.Objectives {
-		if !(o.Kind == "wait" && o.Class == u.spec.Class) && !(o.Kind == "guarantee" && n.withinGuarantee(u.spec)) {
-			continue
-		}
-		at := u.j.seen.Add(o.Within)
-		if at.After(now) && (best.IsZero() || at.Before(best)) {
+		at, ok := n.objectiveStart(o, u)
+		if ok && at.After(soonest) && (best.IsZero() || at.Before(best)) {
 			best = at
 		}
 	}
-	if best.IsZero() && u.spec.Shape == protocol.Array {
-		return now.Add(time.Hour) // arrays displace nothing for a wait alone
+	if !best.IsZero() {
+		return best
+	}
+	if u.spec.Shape == protocol.Service {
+		return now // every second without a replica counts
 	}
-	return best
+	return now.Add(lateWait)
+}
+
+// lateWait is how long a job that has missed all its objectives waits for room
+// rather than displace others.
+const lateWait = 15 * time.Second
+
+// objectiveStart is when a job must start to meet an objective, if it has it.
+func (n *Node) objectiveStart(o protocol.Objective, u *unit) (time.Time, bool) {
+	switch {
+	case o.Kind == "guarantee" && n.withinGuarantee(u.spec), o.Kind == "wait" && o.Class == u.spec.Class:
+		return u.j.seen.Add(o.Within), true
+	case o.Kind == "finished" && o.Class == u.spec.Class:
+		return u.j.seen.Add(o.Within - n.estimate(u.spec)), true
+	case o.Kind == "deadline" && o.Class == u.spec.Class && u.spec.Due() > 0:
+		due := time.Duration(float64(u.spec.Due()) * max(o.Times, 1))
+		return u.j.seen.Add(due - n.estimate(u.spec)), true
+	}
+	return time.Time{}, false
 }
 
 // overLimit tells that a unit's team has no room under its limit. Such a unit
