--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -232,6 +232,7 @@
 		}
 		switch {
 		case err == nil:
+			n.log.Debug("job accepted", "job", spec.Ref, "class", spec.Class, "tasks", spec.Tasks, "image", spec.Image, "at", at, "claimed", c != nil)
 			reply(jobResponse(201, protocol.JobAnswer{Ref: spec.Ref, Phase: protocol.Pending}))
 			n.announce(key)
 		case errors.Is(err, ledger.ErrConflict):
