--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -228,6 +228,9 @@
 		if failedSpecs[key] || n.overLimit(u) {
 			continue
 		}
+		if n.displaceForImage(s, u, rooms, now) {
+			continue // it starts there as soon as the displaced tasks are gone
+		}
 		placed, short := n.placeUnit(s, u, rooms, now)
 		if !short || placed {
 			continue
@@ -275,6 +278,26 @@
 	return now.Add(lateWait)
 }
 
+// displaceForImage makes room for a service on a machine that holds its image
+// when all the free room is on machines that would fetch it for longer than
+// the service's start may take.
+func (n *Node) displaceForImage(s *shard, u *unit, rooms []*room, now time.Time) bool {
+	if u.spec.Shape != protocol.Service {
+		return false
+	}
+	z := n.zonesOf(u)
+	i := choose(u.spec, u.j.ref, rooms, &z, 0, now)
+	if i < 0 || rooms[i].images(u.spec.Image) {
+		return false
+	}
+	by := n.startBy(u, rooms, &z, now)
+	if !by.After(now) || !now.Add(rooms[i].fetch(u.spec)).After(by) {
+		return false
+	}
+	at, victims := displace(u.spec, u.j.ref, rooms, &z, false)
+	return len(victims) > 0 && rooms[at].images(u.spec.Image) && n.makeRoom(s, u, rooms, now)
+}
+
 // lateWait is how long a job that has missed all its objectives waits for room
 // rather than displace others.
 const lateWait = 15 * time.Second
