--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -278,11 +278,11 @@
 	return now.Add(lateWait)
 }
 
-// displaceForImage makes room for a service on a machine that holds its image
-// when all the free room is on machines that would fetch it for longer than
-// the service's start may take.
+// displaceForImage makes room for a service or a gang of one on a machine that
+// holds its image, when all the free room is on machines that would fetch it
+// for longer than the job's start may take.
 func (n *Node) displaceForImage(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if u.spec.Shape != protocol.Service {
+	if u.spec.Shape == protocol.Array || (u.spec.Shape == protocol.Gang && u.spec.Tasks > 1) {
 		return false
 	}
 	z := n.zonesOf(u)
