--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -188,15 +188,16 @@
 	if s.name != n.cfg.Node || now.Sub(s.since) < 3*n.pol.Fence || n.otherLive() == "" {
 		return false
 	}
-	silent, total := n.silentShare(s, now)
+	silent, total := n.silentShare(s, n.pol.Suspect, now)
 	return total >= 3 && silent*10 >= total*8
 }
 
-func (n *Node) silentShare(s *shard, now time.Time) (silent, total int) {
+// silentShare counts a shard's machines, and those silent for longer than that.
+func (n *Node) silentShare(s *shard, than time.Duration, now time.Time) (silent, total int) {
 	for _, m := range n.machines {
 		if m.rec.Shard == s.name && m.rec.State == "" && m.rep != nil {
 			total++
-			if n.silence(m, now) > n.pol.Suspect {
+			if n.silence(m, now) > than {
 				silent++
 			}
 		}
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -239,8 +239,8 @@
 	return nil
 }
 
-// expect REF done|cancelled|unknown, or REF running N, from every live node
-// that answers; at least one must.
+// expect REF done|cancelled|unknown from every live node that answers (at least
+// one must), REF running N, or returned N machines so far.
 func (c *cluster) expect(f []string) error {
 	if f[1] == "running" {
 		n, _ := strconv.Atoi(f[2])
@@ -249,6 +249,19 @@
 		}
 		return nil
 	}
+	if f[0] == "returned" {
+		n, _ := strconv.Atoi(f[1])
+		got := 0
+		for _, line := range c.w.Events() {
+			if strings.HasSuffix(line, " returned") {
+				got++
+			}
+		}
+		if got != n {
+			return fmt.Errorf("%d machines were returned", got)
+		}
+		return nil
+	}
 	answers := 0
 	live := make([]string, 0, len(c.nodes))
 	for name := range c.nodes {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -473,7 +473,11 @@
 	if quiet <= fence || m.returning || !m.mute.After(m.heard) {
 		return
 	}
-	if silent, total := n.silentShare(s, now); s.name == n.cfg.Node && n.otherLive() != "" && total >= 3 && silent*10 >= total*8 && quiet < 3*fence {
+	// Machines that fell silent together do not all look silent for as long:
+	// each has its own beat. More than a beat without hearing from nearly all of
+	// them tells that this node is cut off, before the first is due for fencing.
+	beat := n.cfg.Workers.Report * 13 / 10
+	if silent, total := n.silentShare(s, beat, now); s.name == n.cfg.Node && n.otherLive() != "" && total >= 3 && silent*10 >= total*8 && quiet < 3*fence {
 		return // cutOff deals with it
 	}
 	n.log.Info("fencing a silent machine", "host", m.host, "silent", quiet)
