--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -190,7 +190,8 @@
 			m.token, m.lease = a.Token, sent
 			m.execute(a.Commands)
 		}
-		return w.Workers.Report
+		// Give or take a quarter, as workers do.
+		return w.Workers.Report*3/4 + time.Duration(w.rng.Int64N(int64(w.Workers.Report/2)))
 	case 421:
 		var s protocol.Steward
 		_ = json.Unmarshal(r.Body, &s)
