--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -5,6 +5,7 @@
 
 import (
 	_ "embed"
+	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -111,7 +112,9 @@
 func evaluate(source string, env map[string]float64) (float64, error) {
 	program, err := expr.Compile(source, expr.Env(env), expr.AsFloat64())
 	if err != nil {
-		return 0, err
+		// The library draws the place on further lines; one line is enough.
+		text, _, _ := strings.Cut(err.Error(), "\n")
+		return 0, errors.New(text)
 	}
 	out, err := expr.Run(program, env)
 	if err != nil {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -46,7 +46,7 @@
 			}
 			continue
 		}
-		if err == nil || !strings.Contains(err.Error(), c.want) {
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Fatalf("%q: got %v, wanted %q", c.text, err, c.want)
 		}
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -127,7 +127,7 @@
 	for _, c := range [][3]string{
 		{`node = "a"`, ``, "node: is missing"},
 		{`lease_s = 10.0`, `lease_s = -1.0`, "cluster.workers.lease_s"},
-		{`lease_s = 10.0`, `lease_s = "long"`, "lease_s"},
+		{`lease_s = 10.0`, `lease_s = "long"`, ": cluster.workers.lease_s: "},
 		{`"127.0.0.1:3"`, `"peer.example:3"`, "others[0].endpoint"},
 		{`node = "b"`, `node = "a"`, "others[0].node"},
 		{`zones = ["z"]`, `zones = []`, "cluster.zones"},
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -155,6 +156,9 @@
 		var pe toml.ParseError
 		if errors.As(err, &pe) && pe.LastKey != "" {
 			key = pe.LastKey
+		} else if _, rest, ok := strings.Cut(err.Error(), `(last key "`); ok {
+			// A value of the wrong type: the library names the key in its text only.
+			key, _, _ = strings.Cut(rest, `"`)
 		}
 		return Settings{}, &SettingError{path, key, err.Error()}
 	}
