--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -15,7 +15,6 @@
 	"madderslip/internal/ledger"
 	"madderslip/internal/policy"
 	"madderslip/internal/protocol"
-	"madderslip/internal/transport"
 )
 
 // Ledger is the state service as this package uses it.
@@ -79,8 +78,7 @@
 	loads     map[string]loadSeen // by shard
 	queuedNow map[string]float64  // CPUs this node queued at a shard since its last figure
 	stateOKAt map[string]time.Time
-	ratios    map[string]float64 // class: observed run time over the estimate
-	speeds    map[string]float64
+	ratios    map[string]float64   // class: observed run time over the estimate
 	refused   map[string]time.Time // type/zone/kind: not to be asked for before
 	fleet     fleetState
 	cardsAt   time.Time // when a job with cards was last seen to come in
@@ -125,7 +123,7 @@
 		orphans: make(map[string]map[string]*claim), final: make(map[string]finalJob),
 		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost), gathers: make(map[string]*gathering),
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
-		ratios: make(map[string]float64), speeds: make(map[string]float64), refused: make(map[string]time.Time),
+		ratios: make(map[string]float64), refused: make(map[string]time.Time),
 		ctx: context.Background(),
 	}
 	n.shard(n.cfg.Node)
@@ -366,5 +364,3 @@
 	}
 	return status, nil
 }
-
-var errNotSent = transport.ErrNotSent
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -53,6 +53,11 @@
 	return r.cpus+eps >= s.CPUs && r.gpus+eps >= s.GPUs && r.mem+eps >= s.MemGB
 }
 
+// takes tells whether new tasks of a job may go there, room left aside.
+func (r *room) takes(s *protocol.Submission, z *zoneRule) bool {
+	return r.usable && allowed(s, r.typ, r.zone, r.spot) && z.permits(r.zone)
+}
+
 // whole tells whether a machine with cards runs nothing.
 func (r *room) whole() bool {
 	return r.usable && r.total.GPUs > 0 && r.gpus+eps >= r.total.GPUs && r.cpus+eps >= r.total.CPUs
@@ -122,7 +127,7 @@
 func choose(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, est time.Duration, now time.Time) int {
 	best, bestScore := -1, [4]float64{}
 	for i, r := range rooms {
-		if !r.usable || !r.fits(s) || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.recentErrors[ref] {
+		if !r.takes(s, z) || !r.fits(s) || r.recentErrors[ref] {
 			continue
 		}
 		if r.reservedFor != "" && r.reservedFor != ref && !backfills(s, r, est, now) {
@@ -186,7 +191,7 @@
 func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) (held *room, start time.Time) {
 	best, bestAt := -1, time.Time{}
 	for i, r := range rooms {
-		if !r.usable || r.reservedFor != "" || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || !canEver(s, &r.total) {
+		if !r.takes(s, z) || r.reservedFor != "" || !canEver(s, &r.total) {
 			continue
 		}
 		at, can := shadowTime(s, r, now)
@@ -213,7 +218,7 @@
 func soonestFetch(s *protocol.Submission, rooms []*room, z *zoneRule) time.Duration {
 	best := time.Duration(-1)
 	for _, r := range rooms {
-		if !r.usable || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || !canEver(s, &r.total) {
+		if !r.takes(s, z) || !canEver(s, &r.total) {
 			continue
 		}
 		if f := r.fetch(s); best < 0 || f < best {
@@ -255,7 +260,7 @@
 	at := -1
 	bestCost := math.Inf(1)
 	for i, r := range rooms {
-		if !r.usable || !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.recentErrors[ref] {
+		if !r.takes(s, z) || r.recentErrors[ref] {
 			continue
 		}
 		if !canEver(s, &r.total) || (s.GPUs == 0 && r.total.GPUs > 0 && r.gpus > 0) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -15,7 +15,6 @@
 const (
 	submitWithin = 4 * time.Second
 	pollWithin   = 1700 * time.Millisecond
-	maxWaiting   = 600 // user requests waiting for the state service at once
 )
 
 // Handle answers a request of the public address.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -44,7 +44,6 @@
 	errorJobs  map[string]time.Time // jobs whose tasks failed here, cleared by a success
 	denied     time.Time            // refused a start for want of room: nothing new before
 	sick       bool
-	speed      float64
 }
 
 // sentStart is a direct start whose fate is unknown. Network and hung machines
