Returns are sent before machine types are refreshed

Found in review: when both fell due together, the return was marked as under way and never sent, and every later return of that node waited for it. A test keeps the case.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -32,10 +32,12 @@
 		hosts := n.toReturn(now)
 		n.mu.Unlock()
 		switch {
-		case needTypes:
-			n.fetchTypes(ctx)
 		case len(hosts) > 0:
+			// First of all: toReturn marked them as being returned, and a mark
+			// without the call would hold up every later return for good.
 			go n.returnHosts(ctx, hosts)
+		case needTypes:
+			n.fetchTypes(ctx)
 		case needList:
 			n.listMachines(ctx)
 		}
--- /dev/null
+++ b/internal/coordination/fleet_test.go
@@ -0,0 +1,40 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/policy"
+	"madderslip/internal/standin"
+)
+
+// A return that falls due together with a refresh of the machine types used to
+// be marked as under way and never sent, and no later one was either.
+func TestReturnsGoOutBesideTypeRefresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); time.Sleep(time.Minute) }()
+		s := settings("n0")
+		pol, err := policy.Load("", s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := standin.NewWorld(ctx, 1, workerTimes, nil)
+		w.AddMachines(1, "a")
+		log := slog.New(slog.DiscardHandler)
+		link := standin.Link{W: w, Node: "n0", Ctx: ctx}
+		n := New(Options{Settings: s, Policy: pol, Ledger: ledger.New(link, "state", s.StateLimit, log), HTTP: link, Log: log})
+		n.loaded, n.epoch = true, 1
+		n.shards["n0"].token = 1
+		n.machines["vm-000001"] = &machine{host: "vm-000001", rec: ledger.Machine{Shard: "n0", State: ledger.Returning}}
+		go n.cloudLoop(ctx)
+		time.Sleep(3 * time.Second)
+		if len(w.Events()) != 1 {
+			t.Fatalf("wanted the machine returned once, saw %v", w.Events())
+		}
+	})
+}
