--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -61,6 +61,11 @@
 		return
 	}
 	n.fleet.typesAt = time.Now()
+	for _, s := range n.shards {
+		for _, m := range s.machines {
+			m.stale = true
+		}
+	}
 	n.types = make(map[string]*protocol.MachineType, len(out.Types))
 	for i := range out.Types {
 		n.types[out.Types[i].Name] = &out.Types[i]
@@ -75,7 +80,7 @@
 	}
 	m.returning = true
 	rec := m.rec
-	rec.State, rec.Images = ledger.Returning, nil
+	rec.State = ledger.Returning
 	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
 		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 0, func(error) { m.returning = false })
 }
@@ -86,8 +91,8 @@
 	if !n.loaded || n.fleet.returnBusy {
 		return nil
 	}
-	for _, m := range n.machines {
-		if m.rec.State == ledger.Returning && n.active(n.shards[m.rec.Shard]) && now.After(m.returnNext) && len(hosts) < 100 {
+	for _, m := range n.returns {
+		if n.active(n.shards[m.rec.Shard]) && now.After(m.returnNext) && len(hosts) < 100 {
 			hosts = append(hosts, m.host)
 		}
 	}
@@ -149,12 +154,15 @@
 
 func (n *Node) listed(h protocol.ListedMachine) {
 	m := n.machines[h.Host]
+	if m != nil {
+		m.listed = h.Addr
+	}
 	switch {
 	case m == nil:
 		// A hire whose answer was lost shows up here. A younger one may still
 		// be about to be recorded by the node that hired it.
 		if n.leading() && protocol.Seconds(h.HeldS) > 10*time.Second+2*n.cfg.CloudLimit.ListLag {
-			n.adopt(h.Host, h.Type, h.Zone, h.Spot, h.Addr)
+			n.adopt(h.Host, h.Type, h.Zone, h.Spot)
 		}
 	case h.Phase == protocol.MachineFailed && m.rec.State == "":
 		if s := n.shards[m.rec.Shard]; n.active(s) {
@@ -164,24 +172,6 @@
 	}
 }
 
-// workOn counts the tasks that are or may be on a machine.
-func (n *Node) workOn(host string) int {
-	work := 0
-	for _, c := range n.claims {
-		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
-			if rec == nil {
-				continue
-			}
-			for _, p := range rec.Open {
-				if p.Host == host {
-					work++
-				}
-			}
-		}
-	}
-	return work
-}
-
 // fleetLoop works off the difference between the machines there should be and
 // those there are: owners return what is idle, the leader hires.
 func (n *Node) fleetLoop(ctx context.Context) {
@@ -196,8 +186,10 @@
 				}
 			}
 			if n.leading() {
+				n.adoptKnown(now)
 				n.retryHires(now)
 				n.hireFor(now)
+				n.tidyGroups()
 			}
 		}
 		n.mu.Unlock()
@@ -207,25 +199,17 @@
 // returnIdle gives back machines that have had nothing to do for a while and
 // are not part of the warm room, those that never came up, and sick ones.
 func (n *Node) returnIdle(s *shard, now time.Time) {
-	work := make(map[string]bool)
+	held := make(map[string]bool)
 	services := 0.0
-	for _, c := range n.claims {
-		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
-			if rec == nil {
-				continue
-			}
-			for _, p := range rec.Open {
-				work[p.Host] = true
-				if c.spec != nil && rec == c.rec && rec.Shard == s.name && c.spec.Shape == protocol.Service {
-					services += c.spec.CPUs
-				}
-			}
+	for c := range s.claims {
+		if c.rec != nil && c.spec != nil && c.spec.Shape == protocol.Service {
+			services += c.spec.CPUs * float64(len(c.rec.Open))
 		}
 	}
 	for _, g := range n.gathers {
 		if h := g.holds[s.name]; h != nil && h.stamp != 0 && g.stamp != 0 {
 			for host := range h.rec.Hosts {
-				work[host] = true // held for a wide job about to start
+				held[host] = true // held for a wide job about to start
 			}
 		}
 	}
@@ -237,8 +221,8 @@
 		}
 	}
 	keep := services * n.pol.WarmShare
-	for _, m := range n.machines {
-		if m.rec.Shard != s.name || m.rec.State != "" || m.returning {
+	for _, m := range s.machines {
+		if m.returning {
 			continue
 		}
 		t := n.typeOf(m.rec.Type)
@@ -250,7 +234,7 @@
 			}
 			continue
 		}
-		if work[m.host] || n.strays(m) || now.Sub(m.adoptedAt) < n.pol.Idle {
+		if len(m.use.places) > 0 || held[m.host] || n.strays(m) || now.Sub(m.adoptedAt) < n.pol.Idle {
 			m.idleSince = time.Time{}
 			continue
 		}
@@ -277,6 +261,7 @@
 
 const (
 	consolidateGap = 10 * time.Second
+	weighGap       = 2 * time.Second // after finding no machine worth emptying
 	drainPatience  = 25 * time.Second
 )
 
@@ -286,8 +271,8 @@
 // keep a costly machine long after the work it was hired for.
 func (n *Node) consolidate(s *shard, now time.Time) {
 	busy := false
-	for _, m := range n.machines {
-		if m.rec.Shard != s.name || m.draining.IsZero() {
+	for _, m := range s.machines {
+		if m.draining.IsZero() {
 			continue
 		}
 		if now.Sub(m.draining) > drainPatience {
@@ -297,10 +282,12 @@
 		n.moveReplicas(m, now)
 		busy = busy || m.rec.State == ""
 	}
-	if busy || now.Sub(s.drained) < consolidateGap || now.Sub(s.since) < 15*time.Second || len(n.queueOf(s, now)) > 0 {
+	if busy || now.Sub(s.drained) < consolidateGap || now.Sub(s.weighed) < weighGap || now.Sub(s.since) < 15*time.Second || len(n.queueOf(s, now)) > 0 {
 		return
 	}
+	s.weighed = now
 	rooms := n.rooms(s, now)
+	n.detail(rooms, now)
 	spare, keep := 0.0, 0.0
 	on := make(map[string][]victim)
 	movable := make(map[string]bool)
@@ -313,7 +300,7 @@
 			// What is left must hold the warm room and these replicas too.
 			keep += v.cpus * n.pol.WarmShare
 		}
-		movable[r.host] = r.usable && len(r.victims) > 0 && len(r.ends) == 0 && !n.mixed(r.host)
+		movable[r.host] = r.usable && len(r.victims) > 0 && len(r.ends) == 0 && r.m.onlyReplicas()
 	}
 	slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(b.wasted(), a.wasted()) })
 	for _, from := range rooms {
@@ -324,9 +311,9 @@
 			continue
 		}
 		n.log.Info("emptying a machine", "host", from.host, "replicas", len(on[from.host]))
-		n.machines[from.host].draining = now
+		from.m.draining = now
 		s.drained = now
-		n.moveReplicas(n.machines[from.host], now)
+		n.moveReplicas(from.m, now)
 		n.poke()
 		return
 	}
@@ -335,44 +322,24 @@
 // moveReplicas stops what a machine being emptied still runs, one replica of
 // each service at a time, so that a service goes on while it moves.
 func (n *Node) moveReplicas(m *machine, now time.Time) {
-	for _, c := range n.claims {
+	for _, p := range m.use.places {
+		c := p.c
 		if c.rec == nil || c.pend != nil || c.spec == nil || len(c.evict) > 0 || len(c.rec.Open) < c.rec.Count {
 			continue
 		}
-		for _, p := range c.rec.Open {
-			if p.Host == m.host {
-				c.evict = map[int]time.Time{p.Task: now}
-				break
-			}
-		}
+		c.evict = map[int]time.Time{p.task: now}
+		n.mark(c)
 	}
 }
 
 // price is what a machine costs an hour.
-func (r *room) price() float64 { return offer{&r.total, r.zone, r.spot, r.shard}.price() }
+func (r *room) price() float64 { return offer{r.total, r.zone, r.spot, r.shard}.price() }
 
 // wasted is the part of a machine's price that buys nothing.
 func (r *room) wasted() float64 {
 	return r.price() * max(0, r.cpus) / max(r.total.CPUs, 1)
 }
 
-// mixed tells whether a machine runs anything that can't be moved now.
-func (n *Node) mixed(host string) bool {
-	for _, c := range n.claims {
-		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
-			if rec == nil {
-				continue
-			}
-			for _, p := range rec.Open {
-				if p.Host == host && (c.spec == nil || c.spec.Shape != protocol.Service || c.pend != nil || len(c.evict) > 0) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // fitElsewhere tries the moves on a copy of the rooms.
 func (n *Node) fitElsewhere(from *room, tasks []victim, rooms []*room, now time.Time) bool {
 	var others []*room
@@ -394,7 +361,7 @@
 		}
 		z := newZoneRule(v.c.spec, zones[v.c])
 		i := choose(v.c.spec, v.c.ref, others, &z, 0, now)
-		if i < 0 || !others[i].images(v.c.spec.Image) {
+		if i < 0 || !others[i].holds(v.c.spec.Image) {
 			return false
 		}
 		zones[v.c] = append(zones[v.c], others[i].zone)
@@ -455,7 +422,7 @@
 		need = append(need, got...)
 	}
 	groups := make(map[string]*ledger.Hire)
-	var order []string
+	var order []*ledger.Hire
 	for _, o := range need {
 		shard := o.shard
 		if shard == "" {
@@ -464,30 +431,34 @@
 		if shard == "" {
 			return
 		}
-		key := o.key() + "/" + shard
-		if groups[key] == nil {
+		// One call and one record for all machines of a kind, whatever their
+		// shards: both budgets are too small for one of each for every machine.
+		g := groups[o.key()]
+		if g == nil || g.Count == maxHire {
 			n.fleet.counter++
 			name := fmt.Sprintf("%s-%d-%d", n.cfg.Node, n.boot.UnixMilli(), n.fleet.counter)
-			groups[key] = &ledger.Hire{Hire: protocol.Hire{Name: name, Type: o.typ.Name, Zone: o.zone, Spot: o.spot}, Shard: shard, Born: now.UnixMilli()}
-			order = append(order, key)
+			g = &ledger.Hire{Hire: protocol.Hire{Name: name, Type: o.typ.Name, Zone: o.zone, Spot: o.spot}, Born: now.UnixMilli()}
+			groups[o.key()] = g
+			order = append(order, g)
 			// Counted by smallestShard from now on.
-			n.hires[name] = &hire{name: name, rec: *groups[key], busy: true}
-		}
-		g := groups[key]
-		if g.Count < 50 {
-			g.Count++
-			n.hires[g.Name].rec.Count = g.Count
+			n.hires[name] = &hire{name: name, busy: true}
 		}
+		g.Count++
+		g.Share(shard)
+		n.hires[g.Name].rec = *g
 	}
-	for _, key := range order {
-		n.recordHire(groups[key])
+	for _, g := range order {
+		n.recordHire(g)
 	}
 }
 
+// maxHire is the most machines that the cloud rents in one call.
+const maxHire = 50
+
 // recordHire writes a hire's name down before it is sent.
 func (n *Node) recordHire(rec *ledger.Hire) {
 	name := rec.Name
-	n.log.Info("hiring", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "count", rec.Count, "shard", rec.Shard)
+	n.log.Info("hiring", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "count", rec.Count, "parts", rec.Parts)
 	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}},
 		[]ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
 			h := n.hires[name]
@@ -546,71 +517,96 @@
 		func(err error) { h.busy = false })
 }
 
-// hired records the machines of a hire, and then that the hire is over.
+// hired records the machines of a hire, all in one record. Only the leader
+// does: it alone knows which machines have been adopted meanwhile, and none may
+// be put into two shards.
 func (n *Node) hired(h *hire, hosts []string) {
-	var conds []ledger.Cond
-	var ops []ledger.Op
-	room := n.cfg.StateLimit.TxnOps - 1
-	if len(hosts) < h.rec.Count {
-		n.refused[h.rec.Type+"/"+h.rec.Zone+"/"+strconv.FormatBool(h.rec.Spot)] = time.Now().Add(n.pol.RefusedPause)
+	rec := h.rec
+	if len(hosts) < rec.Count {
+		n.refused[rec.Type+"/"+rec.Zone+"/"+strconv.FormatBool(rec.Spot)] = time.Now().Add(n.pol.RefusedPause)
 	}
-	missing := 0
+	rec.Hosts = nil
 	for _, host := range hosts {
-		if n.machines[host] != nil {
-			continue
-		}
-		missing++
-		if len(ops) < room {
-			conds = append(conds, ledger.Cond{Key: ledger.MachineKeys + host, Stamp: 0})
-			ops = append(ops, ledger.Op{Key: ledger.MachineKeys + host, Value: &ledger.Machine{Shard: h.rec.Shard, Type: h.rec.Type,
-				Zone: h.rec.Zone, Spot: h.rec.Spot, Born: h.rec.Born}})
+		if n.machines[host] == nil && !n.unknown[host].busy {
+			rec.Hosts = append(rec.Hosts, host)
 		}
 	}
-	if missing <= room {
-		conds = append(conds, ledger.Cond{Key: ledger.HireKeys + h.name, Stamp: h.stamp})
-		ops = append(ops, ledger.Op{Key: ledger.HireKeys + h.name})
+	if !n.leading() {
+		h.busy = false // the next leader asks again by the same name
+		return
 	}
-	n.commit(ledger.PrioClaim, conds, ops, 10*time.Second, func(err error) {
-		h.busy = false
-		if n.hires[h.name] == h && err == nil {
-			h.busy = true
-			n.hired(h, hosts)
-		}
-	})
+	if len(rec.Hosts) == 0 {
+		n.dropHire(h)
+		return
+	}
+	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + h.name, Stamp: h.stamp}},
+		[]ledger.Op{{Key: ledger.HireKeys + h.name, Value: &rec}}, 10*time.Second, func(error) { h.busy = false })
 }
 
-// supply is the room of all machines, there or coming, of every shard.
-func (n *Node) supply() []*room {
-	byHost := make(map[string]*room)
-	var out []*room
-	for _, m := range n.machines {
-		t := n.types[m.rec.Type]
-		if m.rec.State != "" || t == nil || m.sick || m.returning || !m.warned.IsZero() {
-			continue
+// storeHire takes a hire's record. Once it names the machines it is their
+// record, until one is returned and gets a record of its own.
+func (n *Node) storeHire(name string, r *ledger.Hire, stamp uint64) {
+	delete(n.groups, name)
+	switch {
+	case r == nil:
+		delete(n.hires, name)
+	case len(r.Hosts) == 0:
+		n.hires[name] = &hire{name: name, rec: *r, stamp: stamp}
+	default:
+		delete(n.hires, name)
+		n.groups[name] = group{r.Hosts, stamp}
+		for i, host := range r.Hosts {
+			if n.machines[host] == nil {
+				n.storeMachine(host, &ledger.Machine{Shard: r.ShardOf(i), Type: r.Type, Zone: r.Zone, Spot: r.Spot, Born: r.Born}, 0)
+			}
 		}
-		r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: *t, cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, shard: m.rec.Shard}
-		byHost[m.host] = r
-		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *room) int { return strings.Compare(a.host, b.host) })
-	for _, c := range n.claims {
-		if c.spec == nil {
+}
+
+// group is the machines that one record stands for.
+type group struct {
+	hosts []string
+	stamp uint64
+}
+
+// tidyGroups drops the records whose machines are all gone, each with a record
+// of its own that says so.
+func (n *Node) tidyGroups() {
+	for name, g := range n.groups {
+		if slices.ContainsFunc(g.hosts, func(host string) bool { return n.machines[host].rec.State != ledger.Gone }) {
 			continue
 		}
-		rec := c.rec
-		if rec == nil {
-			rec = c.pend
-		}
-		for _, p := range rec.Open {
-			if r := byHost[p.Host]; r != nil {
-				r.take(c.spec)
+		key := ledger.HireKeys + name
+		delete(n.groups, name) // until it is seen again
+		n.commit(ledger.PrioRest, []ledger.Cond{{Key: key, Stamp: g.stamp}}, []ledger.Op{{Key: key}}, 5*time.Second, func(err error) {
+			if err != nil && n.stamps[key] == g.stamp {
+				n.groups[name] = g
 			}
+		})
+		return
+	}
+}
+
+// supply is the room of all machines, there or coming, of every shard.
+func (n *Node) supply() []*room {
+	var out []*room
+	for _, name := range n.shardNames() {
+		for _, m := range n.shards[name].machines {
+			t := n.types[m.rec.Type]
+			if t == nil || m.sick || m.returning || !m.warned.IsZero() {
+				continue
+			}
+			r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t, shard: m.rec.Shard}
+			r.cpus, r.gpus, r.mem = n.free(m)
+			out = append(out, r)
 		}
 	}
 	for _, h := range n.hires {
 		if t := n.types[h.rec.Type]; t != nil {
-			for range h.rec.Count {
-				out = append(out, newRoom(offer{t, h.rec.Zone, h.rec.Spot, h.rec.Shard}))
+			for _, p := range h.rec.Parts {
+				for range p.Count {
+					out = append(out, newRoom(offer{t, h.rec.Zone, h.rec.Spot, p.Shard}))
+				}
 			}
 		}
 	}
@@ -618,7 +614,7 @@
 }
 
 func newRoom(o offer) *room {
-	return &room{typ: o.typ.Name, shard: o.shard, zone: o.zone, spot: o.spot, total: *o.typ, cpus: o.typ.CPUs, gpus: o.typ.GPUs, mem: o.typ.MemGB}
+	return &room{typ: o.typ.Name, shard: o.shard, zone: o.zone, spot: o.spot, total: o.typ, cpus: o.typ.CPUs, gpus: o.typ.GPUs, mem: o.typ.MemGB}
 }
 
 // wants lists the work without machines, urgent first, and arrays apart: an
@@ -713,9 +709,11 @@
 	var hires []offer
 	used := 0.0
 	zones := newZoneRule(w.spec, w.taken)
+	next := 0 // room that did not do for a task does not do for the next one either
 	for i := 0; i < w.count; i++ {
 		var at *room
-		for _, r := range *supply {
+		for ; next < len(*supply); next++ {
+			r := (*supply)[next]
 			if r.fits(w.spec) && allowed(w.spec, r.typ, r.zone, r.spot) && zones.permits(r.zone) && (w.zone == "" || w.zone == r.zone) &&
 				(w.shard == "" || r.shard == "" || w.shard == r.shard) {
 				at = r
@@ -748,8 +746,8 @@
 	}
 	slices.Sort(names)
 	byZone := make(map[string]int)
-	for _, m := range n.machines {
-		if m.rec.State == "" {
+	for _, s := range n.shards {
+		for _, m := range s.machines {
 			byZone[m.rec.Zone]++
 		}
 	}
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -30,7 +30,7 @@
 		n := New(Options{Settings: s, Policy: pol, Ledger: ledger.New(link, "state", s.StateLimit, log), HTTP: link, Log: log})
 		n.loaded, n.epoch = true, 1
 		n.shards["n0"].token = 1
-		n.machines["vm-000001"] = &machine{host: "vm-000001", rec: ledger.Machine{Shard: "n0", State: ledger.Returning}}
+		n.storeMachine("vm-000001", &ledger.Machine{Shard: "n0", State: ledger.Returning}, 1)
 		go n.cloudLoop(ctx)
 		time.Sleep(3 * time.Second)
 		if len(w.Events()) != 1 {
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -88,9 +88,11 @@
 			continue
 		}
 		fits := make(map[string]int)
-		for _, m := range n.machines {
-			if t := n.types[m.rec.Type]; m.rec.State == "" && t != nil && canEver(j.rec.Spec, t) && allowed(j.rec.Spec, m.rec.Type, m.rec.Zone, m.rec.Spot) {
-				fits[m.rec.Shard] += perMachine(j.rec.Spec, t)
+		for _, s := range n.shards {
+			for _, m := range s.machines {
+				if t := n.types[m.rec.Type]; t != nil && canEver(j.rec.Spec, t) && allowed(j.rec.Spec, m.rec.Type, m.rec.Zone, m.rec.Spot) {
+					fits[s.name] += perMachine(j.rec.Spec, t)
+				}
 			}
 		}
 		largest := 0
@@ -282,11 +284,13 @@
 	}
 	conds = append(append(conds, tconds...), ledger.Cond{Key: c.key, Stamp: c.stamp})
 	ops = append(ops, ledger.Op{Key: c.key, Value: next}, ledger.Op{Key: ledger.GatherKeys + j.ref})
-	c.pend, g.busy = next, true
+	g.busy = true
 	n.claims[c.key] = c
+	n.setPend(c, next)
 	n.log.Info("placing a wide job", "job", j.ref, "tasks", spec.Tasks, "shards", len(used))
 	n.commit(ledger.PrioClaim, conds, ops, 0, func(err error) {
-		c.pend, g.busy = nil, false
+		g.busy = false
+		n.setPend(c, nil)
 		if t != nil {
 			t.busy = false
 		}
--- /dev/null
+++ b/internal/coordination/index.go
@@ -0,0 +1,265 @@
+package coordination
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+// The indexes answer, without a walk over all claims, what is on a machine,
+// what a shard's claims are, and what a team uses. They are derived from the
+// claims and kept up to date by reindex alone; recount_test.go compares them
+// with a recount.
+
+// place is a task that is, or may be, on a machine: a placement of a claim,
+// committed or being committed.
+type place struct {
+	c    *claim
+	task int
+	try  uint64
+	name string
+	at   *hostUse
+	gen  uint32
+}
+
+// slot tells a claim's places apart.
+type slot struct {
+	task int
+	host string
+}
+
+// hostUse is what claims place on a host. A claim may be read before the
+// machine it names, so this stands apart from the machine.
+type hostUse struct {
+	host   string
+	m      *machine          // nil until the machine is known
+	places map[string]*place // by task name
+}
+
+func (n *Node) hostUse(host string) *hostUse {
+	h := n.hosts[host]
+	if h == nil {
+		h = &hostUse{host: host, places: make(map[string]*place)}
+		n.hosts[host] = h
+	}
+	return h
+}
+
+func (h *hostUse) touch() {
+	if h.m != nil {
+		h.m.stale = true
+	}
+}
+
+// teamShard is a team's use of one shard.
+type teamShard struct{ team, shard string }
+
+// tally is what a claim adds to the sums: the use of its team, by shard.
+type tally struct {
+	key  teamShard
+	use  [2]float64
+	kept bool
+}
+
+// reindex brings the indexes in line with a claim. It is called after every
+// change of the claim's record, of the version being committed, of its job's
+// description, and of whether the claim is there at all.
+func (n *Node) reindex(c *claim) {
+	c.gen++
+	live := n.claims[c.key] == c
+	if live {
+		if c.on == nil {
+			c.on = make(map[slot]*place)
+		}
+		for _, rec := range [2]*ledger.Claim{c.rec, c.pend} {
+			if rec != nil {
+				for i := range rec.Open {
+					n.enter(c, &rec.Open[i])
+				}
+			}
+		}
+	}
+	for id, p := range c.on {
+		if p.gen == c.gen {
+			continue
+		}
+		delete(c.on, id)
+		delete(p.at.places, p.name)
+		p.at.touch()
+		if len(p.at.places) == 0 && p.at.m == nil {
+			delete(n.hosts, p.at.host)
+		}
+	}
+	n.recount(c, live)
+	if live {
+		n.mark(c)
+	}
+}
+
+func (n *Node) enter(c *claim, p *ledger.Placement) {
+	id := slot{p.Task, p.Host}
+	pl := c.on[id]
+	if pl == nil {
+		pl = &place{c: c, task: p.Task, name: protocol.TaskName(c.ref, p.Task), at: n.hostUse(p.Host)}
+		c.on[id] = pl
+		pl.at.places[pl.name] = pl
+		pl.at.touch()
+	}
+	if pl.try != p.Try || c.freshSpec {
+		pl.try = p.Try
+		pl.at.touch()
+	}
+	pl.gen = c.gen
+}
+
+// recount puts a claim's present share into the sums in place of its earlier.
+func (n *Node) recount(c *claim, live bool) {
+	c.freshSpec = false
+	if c.sum.kept {
+		u := n.use[c.sum.key]
+		u[0], u[1] = u[0]-c.sum.use[0], u[1]-c.sum.use[1]
+		n.use[c.sum.key] = u
+		t := n.teamRun[c.sum.key.team]
+		t[0], t[1] = t[0]-c.sum.use[0], t[1]-c.sum.use[1]
+		n.teamRun[c.sum.key.team] = t
+	}
+	c.sum = tally{}
+	rec := c.rec
+	if rec == nil {
+		rec = c.pend
+	}
+	shard, wide := "", false
+	if live && rec != nil {
+		shard, wide = rec.Shard, rec.Shard == ""
+		if c.spec != nil {
+			c.sum = tally{teamShard{c.spec.Team, rec.Shard}, [2]float64{float64(len(rec.Open)) * c.spec.CPUs, float64(len(rec.Open)) * c.spec.GPUs}, true}
+			u := n.use[c.sum.key]
+			n.use[c.sum.key] = [2]float64{u[0] + c.sum.use[0], u[1] + c.sum.use[1]}
+			t := n.teamRun[c.sum.key.team]
+			n.teamRun[c.sum.key.team] = [2]float64{t[0] + c.sum.use[0], t[1] + c.sum.use[1]}
+		}
+	}
+	if c.shard != shard {
+		if s := n.shards[c.shard]; s != nil {
+			delete(s.claims, c)
+			delete(s.dirty, c)
+		}
+		if shard != "" {
+			n.shard(shard).claims[c] = struct{}{}
+		}
+		c.shard = shard
+	}
+	if wide {
+		n.wideClaims[c] = struct{}{}
+	} else {
+		delete(n.wideClaims, c)
+	}
+	if !live {
+		for _, s := range n.shards {
+			delete(s.dirty, c)
+		}
+	}
+}
+
+// mark has a claim looked at in the next pass.
+func (n *Node) mark(c *claim) {
+	if c.shard != "" {
+		s := n.shard(c.shard)
+		s.dirty[c] = struct{}{}
+		s.stirred = true
+		return
+	}
+	if _, wide := n.wideClaims[c]; wide {
+		for _, s := range n.shards {
+			s.dirty[c], s.stirred = struct{}{}, true
+		}
+	}
+}
+
+// markAll has all of a shard's claims looked at.
+func (n *Node) markAll(s *shard) {
+	for c := range s.claims {
+		n.mark(c)
+	}
+	for c := range n.wideClaims {
+		n.mark(c)
+	}
+	s.swept, s.stirred = time.Now(), true
+}
+
+// dirtyClaims takes the claims of a shard that are to be looked at now, in
+// the order of their keys. Those whose time has not come stay marked.
+func (n *Node) dirtyClaims(s *shard, now time.Time) []*claim {
+	var out []*claim
+	for c := range s.dirty {
+		if n.claims[c.key] != c || (c.shard != "" && c.shard != s.name) {
+			delete(s.dirty, c)
+			continue
+		}
+		if now.Before(c.again) || now.Before(c.look) {
+			continue
+		}
+		delete(s.dirty, c)
+		if c.shard == "" && !n.touches(c, s.name) {
+			continue
+		}
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b *claim) int { return strings.Compare(a.key, b.key) })
+	return out
+}
+
+// free is what a machine has left: everything that is or may be on it counts,
+// recorded or only reported. A task that its worker reports as exited takes no
+// room, even before its end is booked.
+func (n *Node) free(m *machine) (cpus, gpus, mem float64) {
+	if !m.stale {
+		return m.left[0], m.left[1], m.left[2]
+	}
+	t := n.typeOf(m.rec.Type)
+	m.left = [3]float64{t.CPUs, t.GPUs, t.MemGB}
+	m.stale, m.unclear = false, false
+	take := func(s *protocol.Submission) {
+		if s == nil {
+			m.unclear = true // of unknown size
+			return
+		}
+		m.left[0], m.left[1], m.left[2] = m.left[0]-s.CPUs, m.left[1]-s.GPUs, m.left[2]-s.MemGB
+	}
+	for name, p := range m.use.places {
+		if t := m.tasks[name]; t != nil && t.Try == p.try && t.Phase == protocol.TaskExited {
+			continue
+		}
+		take(p.c.spec)
+	}
+	for name, t := range m.tasks {
+		if t.Phase != protocol.TaskExited && m.use.places[name] == nil {
+			take(n.specOf(name)) // a stray; housekeeping is ending it
+		}
+	}
+	return m.left[0], m.left[1], m.left[2]
+}
+
+// onlyReplicas tells whether a machine runs replicas of services and nothing
+// else, none of them just moving.
+func (m *machine) onlyReplicas() bool {
+	for _, p := range m.use.places {
+		if p.c.spec == nil || p.c.spec.Shape != protocol.Service || p.c.pend != nil || len(p.c.evict) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// runsReplicas tells whether a machine runs a replica of a service.
+func (m *machine) runsReplicas() bool {
+	for _, p := range m.use.places {
+		if p.c.spec != nil && p.c.spec.Shape == protocol.Service {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -53,25 +53,33 @@
 	kick  chan struct{}
 	cloud *rate.Limiter
 
-	mu       sync.Mutex
-	loaded   bool
-	epoch    uint64 // the watch is complete up to here
-	stamps   map[string]uint64
-	nodes    map[string]nodeSeen
-	shards   map[string]*shard
-	machines map[string]*machine
-	jobs     map[string]*job
-	claims   map[string]*claim
-	orphans  map[string]map[string]*claim // claims seen before their job, by ref
-	final    map[string]finalJob
-	teams    map[string]*teamUse
-	hires    map[string]*hire
-	lead     string
-	leadAt   time.Time
-	leadBusy bool
-	unknown  map[string]unknownHost
-	gathers  map[string]*gathering
-	types    map[string]*protocol.MachineType
+	mu         sync.Mutex
+	loaded     bool
+	epoch      uint64 // the watch is complete up to here
+	stamps     map[string]uint64
+	nodes      map[string]nodeSeen
+	shards     map[string]*shard
+	machines   map[string]*machine
+	jobs       map[string]*job
+	claims     map[string]*claim
+	orphans    map[string]map[string]*claim // claims seen before their job, by ref
+	final      map[string]finalJob
+	teams      map[string]*teamUse
+	hires      map[string]*hire
+	lead       string
+	leadAt     time.Time
+	leadBusy   bool
+	unknown    map[string]unknownHost
+	gathers    map[string]*gathering
+	hosts      map[string]*hostUse // what claims place on each host
+	wideClaims map[*claim]struct{} // those on machines of several shards
+	use        map[teamShard][2]float64
+	teamRun    map[string][2]float64
+	groups     map[string]group
+	imageRecs  map[string]*ledger.Images
+	outbox     map[*machine]struct{} // machines with commands to be sent
+	returns    map[string]*machine   // their return is recorded and not carried out
+	types      map[string]*protocol.MachineType
 
 	leadStamp uint64
 	permit    uint64
@@ -96,9 +104,16 @@
 }
 
 type unknownHost struct {
-	first            time.Time
-	busy             bool // being recorded, in this shard
-	shard, zone, typ string
+	first time.Time
+	busy  bool // being recorded, in this shard
+	shard string
+	kind  machineKind
+}
+
+// machineKind is what a hire asks for.
+type machineKind struct {
+	typ, zone string
+	loaner    bool
 }
 
 // Options are a node's collaborators.
@@ -124,6 +139,8 @@
 		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost), gathers: make(map[string]*gathering),
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
+		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
+		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
 	}
 	n.shard(n.cfg.Node)
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -105,21 +105,32 @@
 	return json.RawMessage("{}"), nil
 }
 
+// loadKeep is how long a shard's load, once worked out, serves its owner.
+const loadKeep = 200 * time.Millisecond
+
 // loadOf is a shard's load now.
 func (n *Node) loadOf(s *shard) protocol.Load {
+	now := time.Now()
+	if now.Sub(s.load.at) < loadKeep {
+		return s.load.load
+	}
 	l := protocol.Load{Shard: s.name, Holds: make(map[string]float64)}
-	for _, r := range n.rooms(s, time.Now()) {
+	for _, r := range n.rooms(s, now) {
 		l.CPUs += r.total.CPUs
 		l.Used += r.total.CPUs - r.cpus
 		if !r.usable {
 			continue
 		}
-		for _, u := range n.machines[r.host].images {
-			l.Holds[u.Name] = max(l.Holds[u.Name], r.cpus)
+		for _, u := range r.m.images {
+			if r.cpus > l.Holds[u.Name] {
+				l.Holds[u.Name] = r.cpus
+			}
 		}
 	}
-	for _, u := range n.queueOf(s, time.Now()) {
+	for _, u := range n.queueOf(s, now) {
 		l.Queued += u.spec.CPUs * float64(u.waiting())
 	}
+	s.load = loadSeen{l, now}
+	n.queuedNow[s.name] = 0
 	return l
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -15,8 +15,10 @@
 	spot            bool
 	usable          bool // settled trouble aside: new tasks may go there
 	cpus, gpus, mem float64
-	total           protocol.MachineType
-	images          func(image string) bool
+	total           *protocol.MachineType
+	m               *machine // nil: not there yet
+	coming          string   // an image that a task placed in this pass brings
+	detailed        bool     // ends and victims are known
 	// A reservation of EASY backfilling: only what ends by then, or fits
 	// beside the head job, may still start here.
 	shadow       time.Time
@@ -49,6 +51,12 @@
 
 const eps = 1e-6
 
+// holds tells whether a machine has an image, or has been given work that
+// brings it.
+func (r *room) holds(image string) bool {
+	return r.coming == image || (r.m != nil && r.m.holds(image))
+}
+
 func (r *room) fits(s *protocol.Submission) bool {
 	return r.cpus+eps >= s.CPUs && r.gpus+eps >= s.GPUs && r.mem+eps >= s.MemGB
 }
@@ -159,7 +167,7 @@
 	if s.GPUs == 0 && r.gpus > 0 {
 		score[0] = 1
 	}
-	holds := r.images(s.Image)
+	holds := r.holds(s.Image)
 	if !holds {
 		score[1] = 1
 	}
@@ -191,7 +199,7 @@
 func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) (held *room, start time.Time) {
 	best, bestAt := -1, time.Time{}
 	for i, r := range rooms {
-		if !r.takes(s, z) || r.reservedFor != "" || !canEver(s, &r.total) {
+		if !r.takes(s, z) || r.reservedFor != "" || !canEver(s, r.total) {
 			continue
 		}
 		at, can := shadowTime(s, r, now)
@@ -218,7 +226,7 @@
 func soonestFetch(s *protocol.Submission, rooms []*room, z *zoneRule) time.Duration {
 	best := time.Duration(-1)
 	for _, r := range rooms {
-		if !r.takes(s, z) || !canEver(s, &r.total) {
+		if !r.takes(s, z) || !canEver(s, r.total) {
 			continue
 		}
 		if f := r.fetch(s); best < 0 || f < best {
@@ -230,7 +238,7 @@
 
 // fetch is how long the machine should need to get a job's image.
 func (r *room) fetch(s *protocol.Submission) time.Duration {
-	if r.images(s.Image) || r.total.PullGBps <= 0 {
+	if r.holds(s.Image) || r.total.PullGBps <= 0 {
 		return 0
 	}
 	return protocol.Seconds(s.ImageGB / r.total.PullGBps)
@@ -238,7 +246,6 @@
 
 // shadowTime is when a machine's running tasks will have left enough room.
 func shadowTime(s *protocol.Submission, r *room, now time.Time) (time.Time, bool) {
-	slices.SortFunc(r.ends, func(a, b ending) int { return a.at.Compare(b.at) })
 	c, g, m, at := r.cpus, r.gpus, r.mem, now
 	for i := 0; ; i++ {
 		if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
@@ -263,15 +270,9 @@
 		if !r.takes(s, z) || r.recentErrors[ref] {
 			continue
 		}
-		if !canEver(s, &r.total) || (s.GPUs == 0 && r.total.GPUs > 0 && r.gpus > 0) {
+		if !canEver(s, r.total) || (s.GPUs == 0 && r.total.GPUs > 0 && r.gpus > 0) {
 			continue
 		}
-		slices.SortFunc(r.victims, func(a, b victim) int {
-			if a.prio != b.prio {
-				return a.prio - b.prio
-			}
-			return int(math.Copysign(1, a.lost-b.lost))
-		})
 		c, g, m, cost := r.cpus, r.gpus, r.mem, 0.0
 		var out []victim
 		for _, v := range r.victims {
@@ -289,7 +290,7 @@
 		if c+eps < s.CPUs || g+eps < s.GPUs || m+eps < s.MemGB || len(out) == 0 {
 			continue
 		}
-		if !r.images(s.Image) {
+		if !r.holds(s.Image) {
 			cost += 1000 // a fetch delays the start
 		}
 		if cost < bestCost {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -54,7 +55,7 @@
 		for i := range j.chunks {
 			c := j.claims[i]
 			if c == nil {
-				c = n.claims[ledger.ClaimKey(j.ref, i)]
+				c = n.claims[ledger.ClaimKey(j.ref, i)] // being committed
 			}
 			switch {
 			case c == nil:
@@ -93,16 +94,18 @@
 
 // roomsBut is rooms, with what is held for the job but counted as free.
 func (n *Node) roomsBut(s *shard, but string, now time.Time) []*room {
-	byHost := make(map[string]*room)
-	var out []*room
-	for _, m := range n.machines {
-		if m.rec.Shard != s.name || m.rec.State != "" || n.types[m.rec.Type] == nil {
+	all := make([]room, len(s.machines))
+	out := make([]*room, 0, len(s.machines))
+	for i, m := range s.machines {
+		t := n.types[m.rec.Type]
+		if t == nil {
 			continue
 		}
-		t := n.typeOf(m.rec.Type)
-		r := &room{host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t,
-			cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, images: m.holds, recentErrors: nil}
-		r.usable = m.rep != nil && !m.sick && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
+		r := &all[i]
+		*r = room{m: m, host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t}
+		r.cpus, r.gpus, r.mem = n.free(m)
+		// What is of unknown size is being ended by housekeeping.
+		r.usable = m.rep != nil && !m.sick && !m.unclear && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
 			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
 		for ref, at := range m.errorJobs {
 			if now.Sub(at) < 30*time.Second {
@@ -112,69 +115,62 @@
 				r.recentErrors[ref] = true
 			}
 		}
-		byHost[m.host] = r
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *room) int { return strings.Compare(a.host, b.host) })
-	counted := make(map[string]bool)
-	use := n.teamRunning()
-	for _, c := range n.claims {
-		if c.spec == nil {
-			continue
+	if len(n.gathers) > 0 {
+		byHost := make(map[string]*room, len(out))
+		for _, r := range out {
+			byHost[r.host] = r
 		}
-		n.charge(c, byHost, counted, use[c.spec.Team], now)
-	}
-	for _, r := range out {
-		n.chargeStrays(r, counted)
+		n.chargeHolds(s, but, byHost)
 	}
-	n.chargeHolds(s, but, byHost)
 	if now.Sub(n.cardsAt) < cardsRecent {
 		keepCards(out, n.pol.CardReserve)
 	}
 	return out
 }
 
-// charge takes a claim's placements, committed or being committed, out of the
-// free room, and notes when they should end and who might be displaced.
-func (n *Node) charge(c *claim, byHost map[string]*room, counted map[string]bool, use [2]float64, now time.Time) {
-	for _, rec := range []*ledger.Claim{c.rec, c.pend} {
-		if rec == nil {
+// detail notes when the tasks on each machine should end and who might be
+// displaced: only a pass with blocked work needs to know.
+func (n *Node) detail(rooms []*room, now time.Time) {
+	for _, r := range rooms {
+		if r.detailed || r.m == nil {
 			continue
 		}
-		for _, p := range rec.Open {
-			r := byHost[p.Host]
-			if r == nil {
+		r.detailed = true
+		for name, p := range r.m.use.places {
+			if p.c.spec == nil {
 				continue
 			}
-			name := protocol.TaskName(c.ref, p.Task)
-			if counted[p.Host+" "+name] {
+			if t := r.m.tasks[name]; t != nil && t.Try == p.try && t.Phase == protocol.TaskExited {
 				continue
 			}
-			counted[p.Host+" "+name] = true
-			m := n.machines[p.Host]
-			if t := m.tasks[name]; t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited && c.pend != nil {
-				continue // its end is being committed
-			}
-			r.take(c.spec)
-			n.noteEnding(r, m, c, p, name, use, now)
+			n.noteEnding(r, p, n.teamRun[p.c.spec.Team], now)
 		}
+		// Most likely to be displaced first; the order is the same every time.
+		slices.SortFunc(r.victims, func(a, b victim) int {
+			return cmp.Or(cmp.Compare(a.prio, b.prio), cmp.Compare(a.lost, b.lost), strings.Compare(a.c.key, b.c.key), cmp.Compare(a.task, b.task))
+		})
+		slices.SortFunc(r.ends, func(a, b ending) int { return a.at.Compare(b.at) })
 	}
 }
 
-func (n *Node) noteEnding(r *room, m *machine, c *claim, p ledger.Placement, name string, use [2]float64, now time.Time) {
-	began, running := m.running[name]
+func (n *Node) noteEnding(r *room, p *place, use [2]float64, now time.Time) {
+	c := p.c
+	began, running := r.m.running[p.name]
 	ran := time.Duration(0)
 	if running {
 		ran = now.Sub(began)
 	}
+	_, evicted := c.evict[p.task]
 	if c.spec.Shape != protocol.Service {
 		left := max(n.estimate(c.spec)-ran, time.Second)
-		if _, evicted := c.evict[p.Task]; evicted {
+		if evicted {
 			left = 300 * time.Millisecond
 		}
 		r.ends = append(r.ends, ending{now.Add(left), c.spec.CPUs, c.spec.GPUs, c.spec.MemGB})
 	}
-	if _, evicted := c.evict[p.Task]; evicted {
+	if evicted {
 		return
 	}
 	if c.spec.Shape == protocol.Gang && c.spec.Tasks > 1 {
@@ -184,7 +180,7 @@
 	if every := c.spec.SnapshotEvery(); every > 0 {
 		lost = min(lost, c.spec.Snapshot().Seconds())
 	}
-	r.victims = append(r.victims, victim{c: c, task: p.Task, prio: c.spec.Prio(), cpus: c.spec.CPUs, gpus: c.spec.GPUs,
+	r.victims = append(r.victims, victim{c: c, task: p.task, prio: c.spec.Prio(), cpus: c.spec.CPUs, gpus: c.spec.GPUs,
 		mem: c.spec.MemGB, lost: lost * max(c.spec.CPUs, 1), team: c.spec.Team,
 		beyond: n.beyondGuarantee(c.spec, use)})
 }
@@ -199,20 +195,6 @@
 	return t.CPUs > 0 && use[0] > t.CPUs+eps
 }
 
-// chargeStrays counts tasks that a machine reports but no placement explains.
-func (n *Node) chargeStrays(r *room, counted map[string]bool) {
-	for name, t := range n.machines[r.host].tasks {
-		if t.Phase == protocol.TaskExited || counted[r.host+" "+name] {
-			continue
-		}
-		if spec := n.specOf(name); spec != nil {
-			r.take(spec)
-		} else {
-			r.usable = false // of unknown size; housekeeping is ending it
-		}
-	}
-}
-
 // schedule is one pass over a shard's queue: first come first served within a
 // priority, with EASY backfilling around a reservation for the head job.
 func (n *Node) schedule(s *shard, now time.Time) {
@@ -244,6 +226,7 @@
 		// holding a machine for them in time throws less work away.
 		blocked = true
 		z := n.zonesOf(u)
+		n.detail(rooms, now)
 		held, start := reserve(u.spec, u.j.ref, rooms, &z, now)
 		if held == nil || start.After(n.startBy(u, rooms, &z, now)) {
 			if n.makeRoom(s, u, rooms, now) && held != nil && held.shadow.After(now) {
@@ -287,15 +270,16 @@
 	}
 	z := n.zonesOf(u)
 	i := choose(u.spec, u.j.ref, rooms, &z, 0, now)
-	if i < 0 || rooms[i].images(u.spec.Image) {
+	if i < 0 || rooms[i].holds(u.spec.Image) {
 		return false
 	}
 	by := n.startBy(u, rooms, &z, now)
 	if !by.After(now) || !now.Add(rooms[i].fetch(u.spec)).After(by) {
 		return false
 	}
+	n.detail(rooms, now)
 	at, victims := displace(u.spec, u.j.ref, rooms, &z, false)
-	return len(victims) > 0 && rooms[at].images(u.spec.Image) && n.makeRoom(s, u, rooms, now)
+	return len(victims) > 0 && rooms[at].holds(u.spec.Image) && n.makeRoom(s, u, rooms, now)
 }
 
 // lateWait is how long a job that has missed all its objectives waits for room
@@ -364,7 +348,7 @@
 
 // allowance is how many more tasks of a job its team's limit permits.
 func (n *Node) allowance(spec *protocol.Submission) int {
-	limit, use := n.cfg.Teams[spec.Team], n.teamRunning()[spec.Team]
+	limit, use := n.cfg.Teams[spec.Team], n.teamRun[spec.Team]
 	free := math.MaxInt32
 	if limit.CPUsMax > 0 && spec.CPUs > 0 {
 		free = min(free, int((limit.CPUsMax-use[0]+eps)/spec.CPUs))
@@ -429,6 +413,7 @@
 	for _, pk := range picks {
 		r := rooms[pk.room]
 		r.cpus, r.gpus, r.mem = r.cpus+s.CPUs, r.gpus+s.GPUs, r.mem+s.MemGB
+		r.coming = ""
 	}
 }
 
@@ -439,7 +424,7 @@
 		open[p.Task] = true
 	}
 	est := n.estimate(u.spec)
-	most := maxOpen - len(open)
+	most := n.cfg.StateLimit.MaxOpen() - len(open)
 	if n.limited(u.spec) {
 		most = min(most, n.allowance(u.spec))
 	}
@@ -453,6 +438,7 @@
 			break
 		}
 		rooms[i].take(u.spec)
+		rooms[i].coming = u.spec.Image
 		z.add(u.spec, rooms[i].zone)
 		picks = append(picks, pick{t, i})
 	}
@@ -490,8 +476,8 @@
 	if t != nil {
 		t.busy = true
 	}
-	c.pend = next
 	n.claims[c.key] = c
+	n.setPend(c, next)
 	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: 0})
 	return conds, ops, true
 }
@@ -556,6 +542,7 @@
 		return false
 	}
 	z := n.zonesOf(u)
+	n.detail(rooms, now)
 	found := false
 	for range min(u.waiting(), 16) {
 		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.withinGuarantee(u.spec))
@@ -570,6 +557,7 @@
 				v.c.evict = make(map[int]time.Time)
 			}
 			v.c.evict[v.task] = now
+			n.mark(v.c)
 			r.cpus, r.gpus, r.mem = r.cpus+v.cpus, r.gpus+v.gpus, r.mem+v.mem
 			n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
 		}
@@ -596,7 +584,7 @@
 	if t.CPUs == 0 && t.GPUs == 0 {
 		return false
 	}
-	use := n.teamRunning()[spec.Team]
+	use := n.teamRun[spec.Team]
 	cpus, gpus := use[0]+spec.CPUs*float64(spec.Tasks), use[1]+spec.GPUs*float64(spec.Tasks)
 	if spec.GPUs > 0 {
 		return t.GPUs > 0 && gpus <= t.GPUs+eps && (t.CPUs == 0 || cpus <= t.CPUs+eps)
@@ -604,22 +592,3 @@
 	// A guarantee of cards alone gives work without cards no claim on others.
 	return t.CPUs > 0 && cpus <= t.CPUs+eps
 }
-
-// teamRunning is what each team's placements take: CPUs and GPUs.
-func (n *Node) teamRunning() map[string][2]float64 {
-	use := make(map[string][2]float64)
-	for _, c := range n.claims {
-		rec := c.rec
-		if rec == nil {
-			rec = c.pend
-		}
-		if rec == nil || c.spec == nil {
-			continue
-		}
-		u := use[c.spec.Team]
-		u[0] += float64(len(rec.Open)) * c.spec.CPUs
-		u[1] += float64(len(rec.Open)) * c.spec.GPUs
-		use[c.spec.Team] = u
-	}
-	return use
-}
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -15,7 +15,8 @@
 	passEvery  = 500 * time.Millisecond
 	resendGap  = 700 * time.Millisecond
 	retryClaim = time.Second
-	maxOpen    = 200 // placements in one claim, to stay within a value
+	lookAgain  = 250 * time.Millisecond
+	sweepEvery = 5 * time.Second
 )
 
 // workLoop compares placements with reports and the queue with the room there
@@ -48,9 +49,16 @@
 		if !n.active(s) {
 			continue
 		}
+		if now.Sub(s.swept) > sweepEvery {
+			n.markAll(s)
+		}
 		n.settle(s, now)
 		n.hold(s, now)
-		n.schedule(s, now)
+		// Nothing has changed: the queue would only find what it found before.
+		if s.stirred || now.Sub(s.passed) >= passEvery {
+			s.stirred, s.passed = false, now
+			n.schedule(s, now)
+		}
 	}
 	if n.leading() {
 		n.gather(now)
@@ -89,35 +97,21 @@
 // settle works through the claims of a shard: what has ended is booked, what
 // should run is started, what should not is stopped.
 func (n *Node) settle(s *shard, now time.Time) {
-	for _, key := range n.claimKeys(s.name) {
-		c := n.claims[key]
-		if c == nil || c.rec == nil || c.pend != nil || now.Before(c.again) {
-			continue
-		}
+	for _, c := range n.dirtyClaims(s, now) {
 		j := n.jobs[c.ref]
-		if j == nil || c.spec == nil {
-			continue
+		if c.rec == nil || c.pend != nil || j == nil || c.spec == nil {
+			continue // marked again when that changes
 		}
 		n.settleClaim(s, j, c, now)
 	}
 }
 
-func (n *Node) claimKeys(shard string) []string {
-	var keys []string
-	for key, c := range n.claims {
-		if c.rec != nil && (c.rec.Shard == shard || (c.rec.Shard == "" && n.touches(c, shard))) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // fate is what has become of a placement.
 type fate int
 
 const (
 	onMachine fate = iota // it is, or may be, on its machine
+	unsettled             // the same, and something is to be done about it
 	completed
 	gone
 )
@@ -125,13 +119,14 @@
 func (n *Node) settleClaim(s *shard, j *job, c *claim, now time.Time) {
 	next := c.rec.Clone()
 	next.Open = next.Open[:0]
-	changed := false
+	changed, pressing, uneasy := false, j.chunks > 1 || n.limited(c.spec), j.rec.Final()
 	if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 0 && len(c.rec.Open)+c.rec.NumDone() < c.rec.Count {
 		c.halt = c.rec.Try // it was placed whole, so a task has been lost
 	}
-	for _, p := range c.rec.Open {
+	for i := range c.rec.Open {
+		p := &c.rec.Open[i]
 		if m := n.machines[p.Host]; c.rec.Shard == "" && m != nil && m.rec.Shard != s.name {
-			next.Open = append(next.Open, p) // its own shard's owner judges it
+			next.Open = append(next.Open, *p) // its own shard's owner judges it
 			continue
 		}
 		switch n.judge(s, j, c, p, now) {
@@ -144,14 +139,18 @@
 				n.log.Info("replica lost", "task", protocol.TaskName(c.ref, p.Task), "try", p.Try, "host", p.Host)
 			}
 			delete(c.evict, p.Task)
-			changed = true
+			changed, pressing = true, true
 			if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 1 {
 				c.halt = c.rec.Try
 			}
+		case unsettled:
+			uneasy = true
+			next.Open = append(next.Open, *p)
 		default:
-			next.Open = append(next.Open, p)
+			next.Open = append(next.Open, *p)
 		}
 	}
+	n.flush(s)
 	if c.spec.Shape == protocol.Gang && next.NumDone() > 0 && !next.Full() {
 		// A gang completes together: if one task is done, every one is.
 		for t := next.First; t < next.First+next.Count; t++ {
@@ -159,67 +158,87 @@
 		}
 		changed = true
 	}
-	if next.Full() && c.spec.Shape != protocol.Service && !j.rec.Final() && n.finishJob(s, j, c, next) {
-		return
+	if next.Full() && c.spec.Shape != protocol.Service && !j.rec.Final() {
+		if n.finishJob(s, j, c, next) {
+			return
+		}
+		uneasy = true
 	}
 	if j.rec.Final() && len(next.Open) == 0 {
 		n.dropClaim(s, c)
 		return
 	}
 	if changed {
-		n.update(s, c, next, ledger.PrioDone, nil)
+		if c.ripe.IsZero() {
+			c.ripe = now
+		}
+		// A completion alone can wait a little for others: until it is booked
+		// its worker goes on listing it, and its room counts as free already.
+		// One write for each of some hundred tasks a second is beyond the
+		// state service's budget.
+		if (pressing || now.Sub(c.ripe) >= n.pol.Book) && n.update(s, c, next, ledger.PrioDone, nil) {
+			return
+		}
+		uneasy = true
+	}
+	if uneasy {
+		c.look = now.Add(lookAgain)
+		s.dirty[c] = struct{}{}
 	}
 }
 
 // judge decides a placement's fate from proof alone: the worker's own account
 // under the current token with no command outstanding, or a machine that the
 // cloud has taken back. Silence proves nothing.
-func (n *Node) judge(s *shard, j *job, c *claim, p ledger.Placement, now time.Time) fate {
+func (n *Node) judge(s *shard, j *job, c *claim, p *ledger.Placement, now time.Time) fate {
 	m := n.machines[p.Host]
 	if m == nil {
 		return onMachine
 	}
+	name := c.nameOf(p)
+	t := m.tasks[name]
+	if t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited && t.Cause == protocol.CauseDone {
+		n.learn(c.spec, m, name, now)
+		return completed
+	}
 	if m.rec.State == ledger.Gone {
 		return gone
 	}
 	if m.rep == nil {
 		return onMachine
 	}
-	name := protocol.TaskName(c.ref, p.Task)
-	t := m.tasks[name]
-	grace, stop := n.wantStop(c, &p, now)
+	grace, stop := n.wantStop(c, p, now)
 	switch {
 	case t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited:
-		if t.Cause == protocol.CauseDone {
-			n.learn(c.spec, m, name, now)
-			return completed
-		}
 		if !m.settled(s) {
-			return onMachine
+			return unsettled
 		}
 		if m.outstanding(name, p.Try) {
 			s.raise = true
-			return onMachine
+			return unsettled
 		}
 		n.blame(j, m, t, now)
 		return gone
 	case t != nil && t.Try == p.Try:
-		if stop && now.Sub(m.stopped[name]) > resendGap && (t.Phase != protocol.TaskSaving || grace == 0) {
+		if !stop {
+			return onMachine
+		}
+		if now.Sub(m.stopped[name]) > resendGap && (t.Phase != protocol.TaskSaving || grace == 0) {
 			m.stopped[name] = now
 			n.order(s, m, protocol.Stop(name, p.Try, grace))
 		}
 		n.enforceCancel(s, j, m, now)
-		return onMachine
+		return unsettled
 	case t != nil: // another attempt of it is still there
-		return onMachine
+		return unsettled
 	case !m.settled(s):
 		n.enforceCancel(s, j, m, now)
-		return onMachine
+		return unsettled
 	case stop:
 		if m.outstanding(name, p.Try) {
 			s.raise = true
 			n.enforceCancel(s, j, m, now)
-			return onMachine
+			return unsettled
 		}
 		return gone // it never started, and now never will
 	}
@@ -230,7 +249,15 @@
 		m.tried[name] = now
 		n.order(s, m, protocol.Start(name, p.Try))
 	}
-	return onMachine
+	return unsettled
+}
+
+// nameOf is the name of a placement's task.
+func (c *claim) nameOf(p *ledger.Placement) string {
+	if pl := c.on[slot{p.Task, p.Host}]; pl != nil {
+		return pl.name
+	}
+	return protocol.TaskName(c.ref, p.Task)
 }
 
 func isStart(name string) func(protocol.Command) bool {
@@ -354,19 +381,12 @@
 	if next.Shard == "" {
 		shard = "*" + c.ref // several owners change it, so it has an entry of its own
 	}
-	for _, other := range n.claims {
-		if next.Shard == "" || other == c || other.spec == nil || other.spec.Team != c.spec.Team {
-			continue
+	if next.Shard != "" {
+		others := n.use[teamShard{c.spec.Team, shard}]
+		if c.sum.kept && c.sum.key.shard == shard {
+			others[0], others[1] = others[0]-c.sum.use[0], others[1]-c.sum.use[1]
 		}
-		rec := other.rec
-		if rec == nil {
-			rec = other.pend
-		}
-		if rec == nil || rec.Shard != shard {
-			continue
-		}
-		use[0] += float64(len(rec.Open)) * other.spec.CPUs
-		use[1] += float64(len(rec.Open)) * other.spec.GPUs
+		use[0], use[1] = use[0]+others[0], use[1]+others[1]
 	}
 	key := ledger.TeamKeys + c.spec.Team
 	rec := &ledger.Team{Use: map[string][2]float64{shard: use}}
@@ -400,7 +420,7 @@
 		conds = append(conds, ledger.Cond{Key: ledger.JobKeys + c.ref, Stamp: j.stamp})
 	}
 	ops = append(ops, ledger.Op{Key: c.key, Value: next})
-	c.pend = next
+	n.setPend(c, next)
 	if t != nil {
 		t.busy = true
 	}
@@ -408,7 +428,7 @@
 		if t != nil {
 			t.busy = false
 		}
-		c.pend = nil
+		n.setPend(c, nil)
 		if err != nil {
 			c.again = time.Now().Add(150 * time.Millisecond)
 			n.log.Debug("claim not updated", "claim", c.key, "err", err)
@@ -449,12 +469,12 @@
 	} else {
 		ops = append(ops, ledger.Op{Key: c.key})
 	}
-	c.pend = next
+	n.setPend(c, next)
 	if t != nil {
 		t.busy = true
 	}
-	n.commit(ledger.PrioDone, conds, ops, 0, func(err error) {
-		c.pend = nil
+	n.commit(ledger.PrioClaim, conds, ops, 0, func(err error) {
+		n.setPend(c, nil)
 		if t != nil {
 			t.busy = false
 		}
@@ -477,12 +497,12 @@
 	}
 	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: c.stamp})
 	ops = append(ops, ledger.Op{Key: c.key})
-	c.pend = empty
+	n.setPend(c, empty)
 	if t != nil {
 		t.busy = true
 	}
 	n.commit(ledger.PrioDone, conds, ops, 0, func(err error) {
-		c.pend = nil
+		n.setPend(c, nil)
 		if t != nil {
 			t.busy = false
 		}
@@ -495,7 +515,7 @@
 // finishClaim ends the commit of a new claim: its tasks start at once, or,
 // when another shard won it, the copy is dropped.
 func (n *Node) finishClaim(s *shard, c *claim, err error) {
-	c.pend = nil
+	n.setPend(c, nil)
 	if t := n.teams[c.spec.Team]; t != nil && n.limited(c.spec) {
 		t.busy = false
 	}
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -20,12 +20,24 @@
 	raise   bool // a new token is wanted, to void commands of unknown fate
 	raised  time.Time
 	drained time.Time // when a machine was last emptied to be returned
+
+	machines []*machine          // in use, by name
+	claims   map[*claim]struct{} // held by the shard
+	dirty    map[*claim]struct{} // to be looked at
+	noting   bool                // its machines' images are being recorded
+	noted    time.Time
+	part     int       // the part recorded last
+	weighed  time.Time // when a machine worth emptying was last sought
+	swept    time.Time // when all were last marked
+	stirred  bool      // something has changed since the last pass over the queue
+	passed   time.Time // when that was
+	load     loadSeen  // its load as last worked out by this node, its owner
 }
 
 func (n *Node) shard(name string) *shard {
 	s := n.shards[name]
 	if s == nil {
-		s = &shard{name: name}
+		s = &shard{name: name, claims: make(map[*claim]struct{}), dirty: make(map[*claim]struct{})}
 		n.shards[name] = s
 	}
 	return s
@@ -47,13 +59,12 @@
 	default:
 		if s.token == 0 {
 			s.since = time.Now()
-			for _, m := range n.machines {
-				if m.rec.Shard == name {
-					m.adoptedAt = s.since
-				}
+			for _, m := range s.machines {
+				m.adoptedAt = s.since
 			}
 		}
 		s.token, s.raise = stamp, false
+		n.markAll(s)
 		n.log.Info("shard acquired", "shard", name, "token", stamp)
 		n.pushToken(s)
 	}
@@ -68,8 +79,8 @@
 // pushToken shows a new token to the shard's machines at once, rather than
 // with their next reports.
 func (n *Node) pushToken(s *shard) {
-	for _, m := range n.machines {
-		if m.rec.Shard == s.name && m.rec.State == "" && m.rep != nil && m.address() != "" {
+	for _, m := range s.machines {
+		if m.rep != nil && m.address() != "" {
 			n.send(s, m)
 		}
 	}
@@ -194,8 +205,8 @@
 
 // silentShare counts a shard's machines, and those silent for longer than that.
 func (n *Node) silentShare(s *shard, than time.Duration, now time.Time) (silent, total int) {
-	for _, m := range n.machines {
-		if m.rec.Shard == s.name && m.rec.State == "" && m.rep != nil {
+	for _, m := range s.machines {
+		if m.rep != nil {
 			total++
 			if n.silence(m, now) > than {
 				silent++
@@ -223,8 +234,9 @@
 		})
 }
 
-// leading tells whether this process leads. A record left by an earlier
+// leading tells whether this process leads, and knows all that earlier leaders
+// recorded. A record left by an earlier
 // process of this node does not count: it goes with that process's lease.
 func (n *Node) leading() bool {
-	return n.lead == n.cfg.Node && n.leadStamp != 0 && !n.leadAt.IsZero() && n.permit != 0
+	return n.lead == n.cfg.Node && n.leadStamp != 0 && !n.leadAt.IsZero() && n.permit != 0 && n.epoch >= n.leadStamp
 }
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -41,6 +41,15 @@
 	evict map[int]time.Time // tasks to be stopped, and since when
 	again time.Time         // earliest next commit after a conflict
 	halt  uint64            // gang: the attempt that is being ended
+	look  time.Time         // not to be looked at before
+	ripe  time.Time         // when the first completion not yet booked was seen
+
+	// Kept by reindex.
+	on        map[slot]*place
+	gen       uint32
+	sum       tally
+	shard     string
+	freshSpec bool
 }
 
 // halted tells whether a gang's present attempt is being ended. The attempt's
@@ -91,12 +100,11 @@
 			t.rec, t.stamp = *r, stamp
 		}
 	case strings.HasPrefix(key, ledger.HireKeys):
-		name := strings.TrimPrefix(key, ledger.HireKeys)
-		if r, _ := rec.(*ledger.Hire); r == nil {
-			delete(n.hires, name)
-		} else {
-			n.hires[name] = &hire{name: name, rec: *r, stamp: stamp}
-		}
+		r, _ := rec.(*ledger.Hire)
+		n.storeHire(strings.TrimPrefix(key, ledger.HireKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.ImageKeys):
+		r, _ := rec.(*ledger.Images)
+		n.storeImages(key, r)
 	case strings.HasPrefix(key, ledger.GatherKeys):
 		r, _ := rec.(*ledger.Gather)
 		n.storeGather(strings.TrimPrefix(key, ledger.GatherKeys), r, stamp)
@@ -148,6 +156,8 @@
 		return new(ledger.Team)
 	case strings.HasPrefix(key, ledger.HireKeys):
 		return new(ledger.Hire)
+	case strings.HasPrefix(key, ledger.ImageKeys):
+		return new(ledger.Images)
 	case strings.HasPrefix(key, ledger.GatherKeys):
 		return new(ledger.Gather)
 	case strings.HasPrefix(key, ledger.HoldKeys):
@@ -193,7 +203,8 @@
 	}
 	delete(n.orphans, ref)
 	for _, c := range j.claims {
-		c.spec = r.Spec
+		n.setSpec(c, r.Spec)
+		n.mark(c)
 	}
 	n.forgetIfOver(j)
 }
@@ -202,7 +213,20 @@
 
 func (n *Node) attach(j *job, c *claim) {
 	j.claims[c.chunk] = c
-	c.spec = j.rec.Spec
+	n.setSpec(c, j.rec.Spec)
+}
+
+func (n *Node) setSpec(c *claim, spec *protocol.Submission) {
+	if c.spec != spec {
+		c.spec, c.freshSpec = spec, true
+		n.reindex(c)
+	}
+}
+
+// setPend says which version of a claim is being committed, if any.
+func (n *Node) setPend(c *claim, next *ledger.Claim) {
+	c.pend = next
+	n.reindex(c)
 }
 
 // remember keeps only a small entry of a final job.
@@ -263,10 +287,18 @@
 		n.orphans[ref][key] = c
 	}
 	c.rec, c.stamp = r, stamp
+	c.ripe = time.Time{}
+	n.reindex(c)
+	if j != nil && j.chunks > 1 && r.Full() {
+		for _, o := range j.claims {
+			n.mark(o) // the job may be over
+		}
+	}
 }
 
 func (n *Node) unlinkClaim(c *claim) {
 	delete(n.claims, c.key)
+	n.reindex(c)
 	delete(n.orphans[c.ref], c.key)
 	if j := n.jobs[c.ref]; j != nil {
 		delete(j.claims, c.chunk)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"madderslip/internal/ledger"
@@ -15,6 +17,7 @@
 // machine is a rented machine, as recorded and as last reported.
 type machine struct {
 	host      string
+	listed    string // its address in the cloud's list
 	rec       ledger.Machine
 	stamp     uint64
 	adoptedAt time.Time // when this process began to answer for it
@@ -24,8 +27,6 @@
 	heard   time.Time // latest sign of life
 	running map[string]time.Time
 	images  []ledger.ImageUse // most recently used last
-	noting  bool              // its images are being recorded
-	noted   time.Time
 	warned  time.Time
 
 	queue    []protocol.Command // not sent yet
@@ -44,6 +45,11 @@
 	errorJobs  map[string]time.Time // jobs whose tasks failed here, cleared by a success
 	denied     time.Time            // refused a start for want of room: nothing new before
 	sick       bool
+
+	use     *hostUse
+	left    [3]float64 // CPUs, cards and memory that are free, unless stale
+	stale   bool
+	unclear bool // something of unknown size is there
 }
 
 // sentStart is a direct start whose fate is unknown. Network and hung machines
@@ -62,7 +68,7 @@
 	if m.rep != nil && m.rep.Addr != "" {
 		return m.rep.Addr
 	}
-	return m.rec.Addr
+	return m.listed
 }
 
 func (n *Node) storeMachine(host string, r *ledger.Machine, stamp uint64) {
@@ -73,35 +79,50 @@
 	if m == nil {
 		m = &machine{host: host, adoptedAt: time.Now(), running: make(map[string]time.Time),
 			tried: make(map[string]time.Time), stopped: make(map[string]time.Time), errorJobs: make(map[string]time.Time)}
+		m.use = n.hostUse(host)
+		m.use.m = m
 		n.machines[host] = m
 		delete(n.unknown, host)
+		if r.State == "" {
+			n.shard(r.Shard).enlist(m)
+		}
+		m.rec = *r
+		n.recallImages(m)
 	}
-	m.rec, m.stamp = *r, stamp
-	if len(m.images) == 0 {
-		m.images = slices.Clone(r.Images)
+	m.rec, m.stamp, m.stale = *r, stamp, true
+	n.shard(r.Shard).stirred = true
+	if r.State != "" {
+		n.shard(r.Shard).discharge(m)
+	}
+	if r.State == ledger.Returning {
+		n.returns[host] = m
+	} else {
+		delete(n.returns, host)
 	}
 	if r.State == ledger.Gone {
-		// Only the tombstone stays in memory.
-		m.rep, m.tasks, m.images, m.queue, m.inflight, m.unsure = nil, nil, nil, nil, nil, nil
+		for _, p := range m.use.places {
+			n.mark(p.c)
+		}
+		// Only the tombstone stays in memory, and what its worker has said of
+		// tasks whose end is not booked yet.
+		m.rep, m.images, m.queue, m.inflight, m.unsure = nil, nil, nil, nil, nil
+		if len(m.use.places) == 0 {
+			m.tasks = nil
+		}
 		m.running, m.tried, m.stopped, m.errorJobs = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	}
 }
 
-// holds tells whether a machine's cache holds an image, as far as known.
-func (m *machine) holds(image string) bool {
-	return slices.ContainsFunc(m.images, func(u ledger.ImageUse) bool { return u.Name == image })
+// enlist and discharge keep a shard's list of machines in use.
+func (s *shard) enlist(m *machine) {
+	at, _ := slices.BinarySearchFunc(s.machines, m.host, func(x *machine, host string) int { return strings.Compare(x.host, host) })
+	s.machines = slices.Insert(s.machines, at, m)
 }
 
-func (m *machine) touchImage(name string, gb, cache float64) {
-	m.images = slices.DeleteFunc(m.images, func(u ledger.ImageUse) bool { return u.Name == name })
-	m.images = append(m.images, ledger.ImageUse{Name: name, GB: gb})
-	total := 0.0
-	for _, u := range m.images {
-		total += u.GB
-	}
-	for len(m.images) > 1 && cache > 0 && total > cache {
-		total -= m.images[0].GB
-		m.images = m.images[1:]
+func (s *shard) discharge(m *machine) {
+	at, ok := slices.BinarySearchFunc(s.machines, m.host, func(x *machine, host string) int { return strings.Compare(x.host, host) })
+	if ok {
+		s.machines = slices.Delete(s.machines, at, at+1)
 	}
 }
 
@@ -112,7 +133,9 @@
 		return false
 	}
 	now := time.Now()
-	m.rep, m.heard = r, now
+	anew := m.rep == nil || m.rep.Token != r.Token || m.rep.Session != r.Session
+	before := m.tasks
+	m.rep, m.heard, m.stale = r, now, true
 	m.tasks = make(map[string]*protocol.TaskReport, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -137,7 +160,20 @@
 		m.warned = now
 		n.log.Info("spot notice", "host", m.host, "seconds", *r.WarningS)
 	}
-	n.poke()
+	// Only claims about which the report says something new are looked at, and
+	// those it does not mention.
+	news := anew || len(before) != len(m.tasks)
+	for name, p := range m.use.places {
+		was, is := before[name], m.tasks[name]
+		if anew || is == nil || was == nil || was.Phase != is.Phase || was.Try != is.Try {
+			n.mark(p.c)
+			news = true
+		}
+	}
+	if news {
+		n.shard(m.rec.Shard).stirred = true
+		n.poke()
+	}
 	return true
 }
 
@@ -169,13 +205,21 @@
 		slices.ContainsFunc(m.unsure, func(u sentStart) bool { return u.task == task && u.try == try })
 }
 
-// order queues commands for a machine and sends them at once.
+// order queues commands for a machine until the next flush.
 func (n *Node) order(s *shard, m *machine, cmds ...protocol.Command) {
 	if m.rec.State != "" || s.token == 0 || m.address() == "" {
 		return
 	}
 	m.queue = append(m.queue, cmds...)
-	n.send(s, m)
+	n.outbox[m] = struct{}{}
+}
+
+// flush sends what has been ordered: the commands for one machine go together.
+func (n *Node) flush(s *shard) {
+	for m := range n.outbox {
+		delete(n.outbox, m)
+		n.send(s, m)
+	}
 }
 
 const commandTimeout = 3 * time.Second
@@ -224,6 +268,12 @@
 
 var misdirected = transport.Response{Status: 421, Body: []byte("{}")}
 
+// steward sends a worker to another controller.
+func steward(node string) transport.Response {
+	b, _ := json.Marshal(protocol.Steward{Node: node})
+	return transport.Response{Status: 421, Body: b}
+}
+
 func unavailable(after int) transport.Response {
 	return transport.Response{Status: 503, Body: []byte(`{"error":"not now"}`), RetryAfter: after}
 }
@@ -247,7 +297,10 @@
 	}
 	m := n.machines[r.Host]
 	if m == nil {
-		n.adopt(r.Host, r.Type, r.Zone, r.Spot, r.Addr)
+		n.adopt(r.Host, r.Type, r.Zone, r.Spot)
+		if _, live := n.nodes[n.lead]; live && n.lead != n.cfg.Node {
+			return steward(n.lead)
+		}
 		return unavailable(1)
 	}
 	if m.rec.State != "" {
@@ -257,8 +310,7 @@
 	if s == nil || s.token == 0 {
 		if s != nil && s.rec != nil && s.rec.Owner != n.cfg.Node {
 			if _, live := n.nodes[s.rec.Owner]; live {
-				b, _ := json.Marshal(protocol.Steward{Node: s.rec.Owner})
-				return transport.Response{Status: 421, Body: b}
+				return steward(s.rec.Owner)
 			}
 		}
 		return unavailable(1)
@@ -336,63 +388,94 @@
 	return c, nil
 }
 
-// adopt records a machine that nobody expected, in the shard with the fewest.
-func (n *Node) adopt(host, typ, zone string, spot bool, addr string) {
-	// The leader alone chooses: several nodes that choose at once, each blind to
-	// the others, would all put their machines into the same shard.
-	if n.leadStamp == 0 || (n.lead != n.cfg.Node && n.nodes[n.lead].stamp != 0) {
-		return
+// adopt notes a machine that nobody expected. The leader alone records such
+// machines: several nodes that choose shards at once, each blind to the others,
+// would all put theirs into the same one.
+func (n *Node) adopt(host, typ, zone string, loaner bool) {
+	if _, seen := n.unknown[host]; !seen && n.leading() {
+		n.unknown[host] = unknownHost{first: time.Now(), kind: machineKind{typ, zone, loaner}}
 	}
-	u, seen := n.unknown[host]
-	now := time.Now()
-	if !seen {
-		u.first = now
-		n.unknown[host] = u
+}
+
+// adoptKnown records the machines noted, all of a kind together.
+func (n *Node) adoptKnown(now time.Time) {
+	hosts := make(map[machineKind][]string)
+	for host, u := range n.unknown {
+		// The answer to a hire may just be on its way; it knows better.
+		patience := time.Duration(0)
+		if len(n.hires) > 0 {
+			patience = 3 * time.Second
+		}
+		if !u.busy && now.Sub(u.first) >= patience && n.types[u.kind.typ] != nil {
+			hosts[u.kind] = append(hosts[u.kind], host)
+		}
 	}
-	// The answer to a hire may just be on its way; it knows better.
-	patience := time.Duration(0)
-	if len(n.hires) > 0 {
-		patience = 3 * time.Second
+	for kind, list := range hosts {
+		slices.Sort(list)
+		for part := range slices.Chunk(list, maxHire) {
+			n.adoptGroup(kind, part, now)
+		}
 	}
-	target := n.smallestShard(zone, typ)
-	if u.busy || now.Sub(u.first) < patience || target == "" || n.types[typ] == nil {
-		return
+}
+
+func (n *Node) adoptGroup(kind machineKind, hosts []string, now time.Time) {
+	n.fleet.counter++
+	name := fmt.Sprintf("%s-%d-%d", n.cfg.Node, n.boot.UnixMilli(), n.fleet.counter)
+	rec := &ledger.Hire{Hire: protocol.Hire{Name: name, Type: kind.typ, Zone: kind.zone, Spot: kind.loaner, Count: len(hosts)}, Born: now.UnixMilli()}
+	byShard := make(map[string][]string)
+	for _, host := range hosts {
+		shard := n.smallestShard(kind.zone, kind.typ)
+		n.unknown[host] = unknownHost{busy: true, shard: shard, kind: kind}
+		byShard[shard] = append(byShard[shard], host)
+	}
+	for shard, list := range byShard {
+		for _, host := range list {
+			rec.Share(shard)
+			rec.Hosts = append(rec.Hosts, host)
+		}
 	}
-	u.busy, u.shard, u.zone, u.typ = true, target, zone, typ
-	n.unknown[host] = u
-	rec := &ledger.Machine{Shard: target, Type: typ, Zone: zone, Spot: spot, Addr: addr, Born: now.UnixMilli()}
-	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.MachineKeys + host, Stamp: 0}},
-		[]ledger.Op{{Key: ledger.MachineKeys + host, Value: rec}}, 5*time.Second, func(err error) {
-			if err == nil {
-				n.log.Info("machine adopted", "host", host, "shard", target)
-			}
+	// A hire that is still without an answer may have rented these. If it is
+	// answered first, this fails, and none of them is put into two shards.
+	conds := []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}}
+	for _, h := range n.hires {
+		if h.stamp != 0 && h.rec.Type == kind.typ && h.rec.Zone == kind.zone && h.rec.Spot == kind.loaner && len(conds) < 2*n.cfg.StateLimit.TxnOps {
+			conds = append(conds, ledger.Cond{Key: ledger.HireKeys + h.name, Stamp: h.stamp})
+		}
+	}
+	n.commit(ledger.PrioClaim, conds, []ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
+		if err == nil {
+			n.log.Info("machines adopted", "hosts", len(hosts), "type", kind.typ, "zone", kind.zone, "parts", rec.Parts)
+		}
+		for _, host := range hosts {
 			delete(n.unknown, host)
-		})
+		}
+	})
 }
 
 // smallestShard is the shard with the fewest machines of a zone and type, the
 // one with the least room among equals.
 func (n *Node) smallestShard(zone, typ string) string {
 	cpus, like := make(map[string]float64), make(map[string]int)
-	for _, m := range n.machines {
-		if m.rec.State != "" {
-			continue
-		}
-		cpus[m.rec.Shard] += n.typeOf(m.rec.Type).CPUs
-		if m.rec.Zone == zone && m.rec.Type == typ {
-			like[m.rec.Shard]++
+	for _, s := range n.shards {
+		for _, m := range s.machines {
+			cpus[s.name] += n.typeOf(m.rec.Type).CPUs
+			if m.rec.Zone == zone && m.rec.Type == typ {
+				like[s.name]++
+			}
 		}
 	}
 	for _, h := range n.hires {
-		cpus[h.rec.Shard] += n.typeOf(h.rec.Type).CPUs * float64(h.rec.Count)
-		if h.rec.Zone == zone && h.rec.Type == typ {
-			like[h.rec.Shard] += h.rec.Count
+		for _, p := range h.rec.Parts {
+			cpus[p.Shard] += n.typeOf(h.rec.Type).CPUs * float64(p.Count)
+			if h.rec.Zone == zone && h.rec.Type == typ {
+				like[p.Shard] += p.Count
+			}
 		}
 	}
 	for _, u := range n.unknown {
 		if u.busy {
-			cpus[u.shard] += n.typeOf(u.typ).CPUs
-			if u.zone == zone && u.typ == typ {
+			cpus[u.shard] += n.typeOf(u.kind.typ).CPUs
+			if u.kind.zone == zone && u.kind.typ == typ {
 				like[u.shard]++
 			}
 		}
@@ -431,10 +514,12 @@
 	for pause(ctx, 300*time.Millisecond) {
 		n.mu.Lock()
 		now := time.Now()
-		for _, m := range n.machines {
-			s := n.shards[m.rec.Shard]
-			if m.rec.State == "" && n.active(s) {
-				n.tendMachine(s, m, now)
+		for _, s := range n.shards {
+			if n.active(s) {
+				for _, m := range s.machines {
+					n.tendMachine(s, m, now)
+				}
+				n.noteImages(s, now)
 			}
 		}
 		n.mu.Unlock()
@@ -445,10 +530,10 @@
 	quiet := n.silence(m, now)
 	if m.rep == nil {
 		// Not heard by this process yet: it may be booting, or report elsewhere.
-		if m.rec.Addr != "" && quiet > n.pol.Suspect && !m.probing {
+		if m.listed != "" && quiet > n.pol.Suspect && !m.probing {
 			n.probe(m)
 		}
-		if quiet > 2*n.pol.Fence && n.workOn(m.host) > 0 && !m.returning {
+		if quiet > 2*n.pol.Fence && len(m.use.places) > 0 && !m.returning {
 			n.log.Info("fencing a machine that does not come to its new owner", "host", m.host)
 			n.returnMachine(s, m)
 		}
@@ -457,12 +542,11 @@
 	if quiet > n.pol.Probe && !m.probing {
 		n.probe(m)
 	}
-	n.noteImages(s, m, now)
 	if len(m.unsure) > 0 && quiet < n.pol.Suspect {
 		s.raise = true // it lives, so a new token settles what may still act there
 	}
 	fence := n.pol.Fence
-	if quiet > n.pol.FenceUp && n.runsReplicas(m.host) {
+	if quiet > n.pol.FenceUp && m.runsReplicas() {
 		fence = n.pol.FenceUp
 	}
 	if !m.warned.IsZero() {
@@ -483,25 +567,6 @@
 	n.returnMachine(s, m)
 }
 
-// noteGap spaces the records of a machine's images out: they are advice.
-const noteGap = 8 * time.Second
-
-// noteImages records which images a machine holds. An owner that does not know
-// sends work to machines that must fetch for many seconds, and did so after
-// every restart of a controller.
-func (n *Node) noteImages(s *shard, m *machine, now time.Time) {
-	same := func(u ledger.ImageUse) bool { return m.holds(u.Name) }
-	if m.noting || m.returning || now.Sub(m.noted) < noteGap ||
-		(len(m.images) == len(m.rec.Images) && !slices.ContainsFunc(m.rec.Images, func(u ledger.ImageUse) bool { return !same(u) })) {
-		return
-	}
-	m.noting, m.noted = true, now
-	rec := m.rec
-	rec.Images = slices.Clone(m.images)
-	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
-		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 5*time.Second, func(error) { m.noting = false })
-}
-
 // probe asks a machine for its account. An answer proves it alive even when
 // its reports do not arrive.
 func (n *Node) probe(m *machine) {
@@ -520,15 +585,3 @@
 		m.mute = time.Now()
 	}()
 }
-
-func (n *Node) runsReplicas(host string) bool {
-	for _, c := range n.claims {
-		if c.rec == nil || c.spec == nil || c.spec.Shape != protocol.Service {
-			continue
-		}
-		if slices.ContainsFunc(c.rec.Open, func(p ledger.Placement) bool { return p.Host == host }) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -63,11 +63,14 @@
 func New(caller Caller, addr string, lim protocol.StateLimits, log *slog.Logger) *Client {
 	return &Client{caller: caller, addr: addr, lim: lim, log: log,
 		reqs:   rate.NewLimiter(rate.Limit(lim.RPS/2), max(4, int(lim.RPS/8))),
-		writes: rate.NewLimiter(rate.Limit(lim.WriteRPS/2), max(lim.TxnOps, int(lim.WriteRPS/3))),
+		writes: rate.NewLimiter(rate.Limit(lim.WriteRPS/2), max(minBurst, int(lim.WriteRPS/3))),
 		kick:   make(chan struct{}, 1),
 	}
 }
 
+// minBurst is the most that one transaction changes, with a margin.
+const minBurst = 8
+
 // Share sets how many live nodes share the budgets. A tenth stays unused for
 // lease renewals, which do not wait for the budget.
 func (c *Client) Share(live int) {
@@ -75,7 +78,7 @@
 	c.reqs.SetLimit(rate.Limit(c.lim.RPS * part))
 	c.writes.SetLimit(rate.Limit(c.lim.WriteRPS * part))
 	c.reqs.SetBurst(max(4, int(c.lim.RPS*part/2)))
-	c.writes.SetBurst(max(c.lim.TxnOps, int(c.lim.WriteRPS*part)))
+	c.writes.SetBurst(max(minBurst, int(c.lim.WriteRPS*part)))
 }
 
 // LastOK is when the state service last executed a call of this node.
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"madderslip/internal/protocol"
 )
 
@@ -43,6 +45,7 @@
 	Done     func(Result)
 
 	raw    []wireOp
+	since  time.Time
 	size   int
 	alone  bool // was part of a batch refused as malformed
 	unsure bool // an earlier sending got no answer
@@ -66,7 +69,9 @@
 const (
 	gatherFor   = 4 * time.Millisecond
 	txnTimeout  = 2 * time.Second
-	maxInflight = 4
+	maxInflight = 6
+	pollGather  = 60 * time.Millisecond
+	patience    = 2 * time.Second
 	batchBytes  = 60 << 10
 )
 
@@ -91,6 +96,7 @@
 	for _, cond := range t.Conds {
 		t.size += len(cond.Key) + 48
 	}
+	t.since = time.Now()
 	c.mu.Lock()
 	c.pending = append(c.pending, t)
 	c.mu.Unlock()
@@ -106,38 +112,107 @@
 
 // Run sends queued transactions until the context ends.
 func (c *Client) Run(ctx context.Context) {
+	wait := 250 * time.Millisecond
 	for {
-		tick := time.NewTimer(250 * time.Millisecond)
+		tick := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			tick.Stop()
 			return
 		case <-c.kick:
+			tick.Stop()
+			if !sleep(ctx, gatherFor) {
+				return
+			}
 		case <-tick.C:
 		}
-		tick.Stop()
 		c.expire(time.Now())
-		for c.ready() {
-			time.Sleep(gatherFor)
-			if c.reqs.Wait(ctx) != nil {
-				return
-			}
-			batch, ops := c.pick()
-			if len(batch) == 0 {
+		for {
+			var batch []*Txn
+			if batch, wait = c.next(time.Now()); batch == nil {
 				break
 			}
-			if ops > 0 && c.writes.WaitN(ctx, ops) != nil {
-				return
-			}
 			go c.send(ctx, batch)
 		}
 	}
 }
 
-func (c *Client) ready() bool {
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// next is the batch to be sent now, or how long to wait for one. Writes are
+// picked only as far as the budget reaches: a batch of the less urgent that
+// waits for its budget would hold up an acceptance that comes meanwhile.
+func (c *Client) next(now time.Time) ([]*Txn, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.pending) > 0 && c.inflight < maxInflight
+	const idle = 250 * time.Millisecond
+	if len(c.pending) == 0 || c.inflight >= maxInflight {
+		return nil, idle
+	}
+	if left := c.reqs.TokensAt(now); left < 1 {
+		return nil, waitFor(1-left, c.reqs.Limit())
+	}
+	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return a.Prio - b.Prio })
+	pause := idle
+	budget := c.writes.TokensAt(now)
+	reads, oldest := 0, now
+	for _, t := range c.pending {
+		if len(t.Ops) == 0 {
+			reads++
+			if t.since.Before(oldest) {
+				oldest = t.since
+			}
+			continue
+		}
+		if need := float64(len(t.Ops)) + c.reserve(t, now); budget < need {
+			pause = min(pause, waitFor(need-budget, c.writes.Limit()))
+		}
+	}
+	if reads > 0 {
+		// Comparisons alone, for users' polls, cost a request each time and
+		// no change: many go together, even if they wait a moment for that.
+		age := now.Sub(oldest)
+		if age >= pollGather || reads >= 2*c.lim.TxnOps {
+			batch, _ := c.pick(true, 0, now)
+			c.reqs.AllowN(now, 1)
+			return batch, 0
+		}
+		pause = min(pause, pollGather-age)
+	}
+	if batch, ops := c.pick(false, budget, now); len(batch) > 0 {
+		c.reqs.AllowN(now, 1)
+		c.writes.AllowN(now, ops)
+		return batch, 0
+	}
+	return nil, pause
+}
+
+func waitFor(missing float64, limit rate.Limit) time.Duration {
+	return time.Duration(missing/max(float64(limit), 0.1)*float64(time.Second)) + time.Millisecond
+}
+
+// reserve is the budget that a transaction leaves to more urgent ones. None
+// waits for that for ever.
+func (c *Client) reserve(t *Txn, now time.Time) float64 {
+	if now.Sub(t.since) > patience {
+		return 0
+	}
+	switch t.Prio {
+	case PrioRest:
+		return float64(c.writes.Burst()) * 0.5
+	case PrioDone:
+		return float64(c.writes.Burst()) * 0.25
+	}
+	return 0
 }
 
 // expire ends transactions whose caller no longer waits.
@@ -161,22 +236,16 @@
 	}
 }
 
-// pick takes the most urgent transactions that fit one request together.
-// Comparisons alone travel apart from writes: they fail often.
-func (c *Client) pick() ([]*Txn, int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.pending) == 0 {
-		return nil, 0
-	}
-	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return a.Prio - b.Prio })
+// pick takes the most urgent transactions that fit one request and the budget
+// together. Comparisons alone travel apart from writes: they fail often.
+func (c *Client) pick(reads bool, budget float64, now time.Time) ([]*Txn, int) {
 	var batch, rest []*Txn
 	ops, size := 0, 0
 	conds := make(map[string]uint64)
 	written := make(map[string]bool)
-	reads := len(c.pending[0].Ops) == 0
 	for _, t := range c.pending {
-		if !c.fits(t, batch, reads, ops, size, conds, written) {
+		if (len(t.Ops) == 0) != reads || (!reads && float64(ops+len(t.Ops))+c.reserve(t, now) > budget) ||
+			!c.fits(t, batch, ops, size, conds, written) {
 			rest = append(rest, t)
 			continue
 		}
@@ -190,16 +259,18 @@
 			written[op.Key] = true
 		}
 	}
-	c.pending = rest
-	c.inflight++
+	if len(batch) > 0 {
+		c.pending = rest
+		c.inflight++
+	}
 	return batch, ops
 }
 
-func (c *Client) fits(t *Txn, batch []*Txn, reads bool, ops, size int, conds map[string]uint64, written map[string]bool) bool {
+func (c *Client) fits(t *Txn, batch []*Txn, ops, size int, conds map[string]uint64, written map[string]bool) bool {
 	if len(batch) == 0 {
 		return true
 	}
-	if t.alone || batch[0].alone || (len(t.Ops) == 0) != reads {
+	if t.alone || batch[0].alone {
 		return false
 	}
 	if ops+len(t.Ops) > c.lim.TxnOps || size+t.size > batchBytes {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/bits"
 	"strconv"
 	"strings"
 
@@ -21,6 +22,7 @@
 	ClaimKeys   = "c/" // c/<ref>/<chunk>: a claimed chunk, its placements and completions
 	TeamKeys    = "t/" // t/<team>: what a limited team has reserved, by shard
 	HireKeys    = "h/" // h/<name>: a rental that may have been sent
+	ImageKeys   = "i/" // i/<shard>/<part>: the images that a part of its machines hold
 	GatherKeys  = "g/" // g/<ref>: the leader gathers room for a job, attached to its lease
 	HoldKeys    = "o/" // o/<ref>/<shard>: room that a shard holds for it, attached to the owner's lease
 	LeaderKey   = "lead"
@@ -45,17 +47,22 @@
 	Type  string `json:"t"`
 	Zone  string `json:"z"`
 	Spot  bool   `json:"s,omitempty"`
-	Addr  string `json:"a,omitempty"`
 	State string `json:"x,omitempty"` // "", Returning or Gone
 	Born  int64  `json:"b,omitempty"` // Unix milliseconds of the rental, for boot patience only
-	// Images it holds, least recently used first, so that the next owner knows.
-	Images []ImageUse `json:"i,omitempty"`
 }
 
 // ImageUse is an image in a machine's cache.
 type ImageUse struct {
-	Name string  `json:"n"`
-	GB   float64 `json:"g,omitempty"`
+	Name string
+	GB   float64
+}
+
+// Images is which images a part of a shard's machines hold, so that the next
+// owner knows: indexes into Names by host, least recently used first.
+type Images struct {
+	Names []string         `json:"n"`
+	GB    []float64        `json:"g"`
+	Hosts map[string][]int `json:"m"`
 }
 
 // States of a machine. Both are final: such a machine is given nothing more.
@@ -132,10 +139,8 @@
 // NumDone counts the tasks that are done.
 func (c *Claim) NumDone() int {
 	n := 0
-	for t := c.First; t < c.First+c.Count; t++ {
-		if c.IsDone(t) {
-			n++
-		}
+	for _, b := range c.Done {
+		n += bits.OnesCount8(b)
 	}
 	return n
 }
@@ -156,11 +161,42 @@
 	Use map[string][2]float64 `json:"u"`
 }
 
-// Hire is a rental that was recorded before it was sent.
+// Hire is a rental that was recorded before it was sent, and in the end the
+// record of the machines it brought: one for all of them. Machines that nobody
+// expected get such a record too.
 type Hire struct {
 	protocol.Hire
-	Shard string `json:"z"`
-	Born  int64  `json:"b"`
+	Parts []Part   `json:"p"`
+	Born  int64    `json:"b"`           // Unix milliseconds
+	Hosts []string `json:"m,omitempty"` // the first parts get the first machines
+}
+
+// Part is how many of a hire's machines go to a shard.
+type Part struct {
+	Shard string `json:"h"`
+	Count int    `json:"n"`
+}
+
+// Share gives a shard one more of the machines.
+func (h *Hire) Share(shard string) {
+	for i := range h.Parts {
+		if h.Parts[i].Shard == shard {
+			h.Parts[i].Count++
+			return
+		}
+	}
+	h.Parts = append(h.Parts, Part{shard, 1})
+}
+
+// ShardOf is the shard of a hire's i-th machine.
+func (h *Hire) ShardOf(i int) string {
+	for _, p := range h.Parts {
+		if i < p.Count {
+			return p.Shard
+		}
+		i -= p.Count
+	}
+	return h.Parts[len(h.Parts)-1].Shard
 }
 
 // Gather asks the owners of shards to hold room for a job wider than any shard.
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -65,6 +65,10 @@
 	TxnOps        int
 }
 
+// MaxOpen is how many placements of one claim fit a value, with room for the
+// rest of the record.
+func (l StateLimits) MaxOpen() int { return max(1, (l.ValueBytes-1024)/36) }
+
 // CloudLimits are the budget and the lag of the cloud's API.
 type CloudLimits struct {
 	RPS     float64
