--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
 )
@@ -27,8 +29,9 @@
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		now := time.Now()
+		n.shareCloud()
 		needTypes := len(n.types) == 0 || now.Sub(n.fleet.typesAt) > 30*time.Second
-		needList := n.loaded && len(n.types) > 0 && now.Sub(n.fleet.listed) > max(5*time.Second, n.cfg.CloudLimit.ListLag)
+		needList := n.loaded && len(n.types) > 0 && now.Sub(n.fleet.listed) > max(10*time.Second, n.cfg.CloudLimit.ListLag)
 		hosts := n.toReturn(now)
 		n.mu.Unlock()
 		switch {
@@ -45,6 +48,16 @@
 	}
 }
 
+// shareCloud divides the cloud's calls: half of them for the leader, who hires
+// for all, the rest for the returns and lists of every node.
+func (n *Node) shareCloud() {
+	part := 0.4 / float64(max(1, n.cfg.Nodes))
+	if n.leading() {
+		part += 0.5
+	}
+	n.cloud.SetLimit(rate.Limit(n.cfg.CloudLimit.RPS * part))
+}
+
 func (n *Node) fetchTypes(ctx context.Context) {
 	if n.cloud.Wait(ctx) != nil {
 		return
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -194,7 +194,8 @@
 		j.ended = time.Now()
 	}
 	if r.Spec != nil {
-		j.size = chunkSize(r.Spec, n.pol.ChunkTasks)
+		// From the record: every controller must cut a job the same way.
+		j.size = max(1, r.Size)
 		j.chunks = (r.Spec.Tasks + j.size - 1) / j.size
 	}
 	for key, c := range n.orphans[ref] {
@@ -319,14 +320,15 @@
 
 // chunkSize is how many tasks of a job are claimed together. Gangs, services
 // and jobs whose tasks depend on one another's zones are claimed whole, so
-// that one record decides where their tasks may go. The number of chunks is
-// bounded, since finishing a job compares them all.
-func chunkSize(s *protocol.Submission, usual int) int {
-	const maxChunks = 24
+// that one record decides where their tasks may go. An array makes no more
+// chunks than it has copies: each costs its own writes.
+func chunkSize(s *protocol.Submission, usual, copies int) int {
+	const maxChunks = 24 // finishing a job compares them all
 	if s.Shape != protocol.Array || s.SameZone || s.Spread {
 		return s.Tasks
 	}
-	size := max(usual, (s.Tasks+maxChunks-1)/maxChunks)
+	parts := min(copies, maxChunks)
+	size := max(usual, (s.Tasks+parts-1)/parts)
 	return min(size, s.Tasks)
 }
 
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math/bits"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -78,6 +79,7 @@
 	Born  int64                `json:"b,omitempty"` // Unix milliseconds of acceptance, for order and advice only
 	State string               `json:"x,omitempty"` // "", protocol.Done or protocol.Cancelled
 	Tasks int                  `json:"n,omitempty"` // of a final job
+	Size  int                  `json:"k,omitempty"` // tasks in a chunk
 }
 
 // Final tells whether nothing can change any more.
@@ -116,24 +118,65 @@
 	Shard string      `json:"h"` // empty: on machines of several shards, each owner minds its own
 	First int         `json:"f,omitempty"`
 	Count int         `json:"n"`
-	Done  []byte      `json:"d,omitempty"`
+	Done  Bitmap      `json:"d,omitempty"`
 	Open  []Placement `json:"o,omitempty"`
 	Try   uint64      `json:"a,omitempty"` // the highest attempt given out
 }
 
+// Bitmap is a set of small numbers, bit by bit. In a record it is a list of
+// ranges, from and up to: tasks are placed in order, so there are few, while the
+// bits of a chunk of some ten thousand tasks would not fit a small value.
+type Bitmap []byte
+
+func (b Bitmap) has(i int) bool { return i >= 0 && i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// MarshalJSON writes the ranges.
+func (b Bitmap) MarshalJSON() ([]byte, error) {
+	var ranges []int
+	for i := 0; i < 8*len(b); i++ {
+		if b.has(i) != (len(ranges)%2 == 1) {
+			ranges = append(ranges, i)
+		}
+	}
+	if len(ranges)%2 == 1 {
+		ranges = append(ranges, 8*len(b))
+	}
+	return json.Marshal(ranges)
+}
+
+// UnmarshalJSON undoes MarshalJSON.
+func (b *Bitmap) UnmarshalJSON(raw []byte) error {
+	var ranges []int
+	if err := json.Unmarshal(raw, &ranges); err != nil {
+		return err
+	}
+	if len(ranges)%2 == 1 || !slices.IsSorted(ranges) || (len(ranges) > 0 && (ranges[0] < 0 || ranges[len(ranges)-1] > protocol.MaxTasks+8)) {
+		return fmt.Errorf("ranges %v", ranges)
+	}
+	*b = nil
+	for k := 0; k < len(ranges); k += 2 {
+		for i := ranges[k]; i < ranges[k+1]; i++ {
+			b.set(i)
+		}
+	}
+	return nil
+}
+
+func (b *Bitmap) set(i int) {
+	for len(*b) <= i/8 {
+		*b = append(*b, 0)
+	}
+	(*b)[i/8] |= 1 << (i % 8)
+}
+
 // IsDone tells whether a task of the chunk is done.
 func (c *Claim) IsDone(task int) bool {
-	i := task - c.First
-	return i >= 0 && i/8 < len(c.Done) && c.Done[i/8]&(1<<(i%8)) != 0
+	return c.Done.has(task - c.First)
 }
 
 // SetDone marks a task of the chunk done.
 func (c *Claim) SetDone(task int) {
-	i := task - c.First
-	for len(c.Done) <= i/8 {
-		c.Done = append(c.Done, 0)
-	}
-	c.Done[i/8] |= 1 << (i % 8)
+	c.Done.set(task - c.First)
 }
 
 // NumDone counts the tasks that are done.
@@ -151,8 +194,8 @@
 // Clone copies a claim so that it can be changed.
 func (c *Claim) Clone() *Claim {
 	d := *c
-	d.Done = append([]byte(nil), c.Done...)
-	d.Open = append([]Placement(nil), c.Open...)
+	d.Done = slices.Clone(c.Done)
+	d.Open = slices.Clone(c.Open)
 	return &d
 }
 
