--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -311,7 +311,7 @@
 		}
 		for _, v := range r.victims {
 			// What is left must hold the warm room and these replicas too.
-			keep += v.cpus * n.pol.WarmShare
+			keep += v.c.spec.CPUs * n.pol.WarmShare
 		}
 		movable[r.host] = r.usable && len(r.victims) > 0 && len(r.ends) == 0 && r.m.onlyReplicas()
 	}
@@ -340,8 +340,7 @@
 		if c.rec == nil || c.pend != nil || c.spec == nil || len(c.evict) > 0 || len(c.rec.Open) < c.rec.Count {
 			continue
 		}
-		c.evict = map[int]time.Time{p.task: now}
-		n.mark(c)
+		n.evict(c, p.task, now)
 	}
 }
 
--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -50,7 +50,7 @@
 
 func (h *hostUse) touch() {
 	if h.m != nil {
-		h.m.stale = true
+		h.m.stale, h.m.undetailed = true, true
 	}
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -34,19 +34,15 @@
 
 // ending is a running task with the time its room is expected back.
 type ending struct {
-	at              time.Time
-	cpus, gpus, mem float64
+	at   time.Time
+	spec *protocol.Submission
 }
 
-// victim is a running task that work of higher priority may displace.
+// victim is a running task that other work may displace.
 type victim struct {
-	c               *claim
-	task            int
-	prio            int
-	cpus, gpus, mem float64
-	lost            float64 // CPU seconds thrown away
-	beyond          bool    // runs beyond its team's guarantee
-	team            string
+	c     *claim
+	task  int
+	began time.Time
 }
 
 const eps = 1e-6
@@ -93,6 +89,12 @@
 	return t.CPUs+eps >= s.CPUs && t.GPUs+eps >= s.GPUs && t.MemGB+eps >= s.MemGB
 }
 
+func (r *room) give(s *protocol.Submission) {
+	r.cpus += s.CPUs
+	r.gpus += s.GPUs
+	r.mem += s.MemGB
+}
+
 func (r *room) take(s *protocol.Submission) {
 	r.cpus -= s.CPUs
 	r.gpus -= s.GPUs
@@ -215,7 +217,7 @@
 	c, g, m := r.cpus, r.gpus, r.mem
 	for _, e := range r.ends {
 		if !e.at.After(bestAt) {
-			c, g, m = c+e.cpus, g+e.gpus, m+e.mem
+			c, g, m = c+e.spec.CPUs, g+e.spec.GPUs, m+e.spec.MemGB
 		}
 	}
 	r.spareC, r.spareG, r.spareM = c-s.CPUs, g-s.GPUs, m-s.MemGB
@@ -255,14 +257,17 @@
 			return time.Time{}, false
 		}
 		e := r.ends[i]
-		c, g, m = c+e.cpus, g+e.gpus, m+e.mem
+		c, g, m = c+e.spec.CPUs, g+e.spec.GPUs, m+e.spec.MemGB
 		at = e.at
+		if soon := now.Add(time.Second); at.Before(soon) {
+			at = soon // overdue
+		}
 	}
 }
 
 // displace chooses the machine where making room for one task of higher
 // priority throws the least work away, and the tasks to stop there.
-func displace(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, guaranteed bool) (int, []victim) {
+func displace(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, may func(*protocol.Submission) bool, now time.Time) (int, []victim) {
 	var best []victim
 	at := -1
 	bestCost := math.Inf(1)
@@ -279,12 +284,10 @@
 			if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
 				break
 			}
-			lower := v.prio < s.Prio()
-			reclaim := guaranteed && v.beyond && v.team != s.Team
-			if !lower && !reclaim {
+			if !may(v.c.spec) {
 				continue
 			}
-			c, g, m, cost = c+v.cpus, g+v.gpus, m+v.mem, cost+v.lost
+			c, g, m, cost = c+v.c.spec.CPUs, g+v.c.spec.GPUs, m+v.c.spec.MemGB, cost+v.lost(now)
 			out = append(out, v)
 		}
 		if c+eps < s.CPUs || g+eps < s.GPUs || m+eps < s.MemGB || len(out) == 0 {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -131,44 +131,54 @@
 }
 
 // detail notes when the tasks on each machine should end and who might be
-// displaced: only a pass with blocked work needs to know.
+// displaced: only a pass with blocked work needs to know. What a machine's
+// tasks come to is kept until something about them changes.
 func (n *Node) detail(rooms []*room, now time.Time) {
 	for _, r := range rooms {
 		if r.detailed || r.m == nil {
 			continue
 		}
 		r.detailed = true
-		for name, p := range r.m.use.places {
-			if p.c.spec == nil {
-				continue
-			}
-			if t := r.m.tasks[name]; t != nil && t.Try == p.try && t.Phase == protocol.TaskExited {
-				continue
-			}
-			n.noteEnding(r, p, n.teamRun[p.c.spec.Team], now)
+		if r.m.undetailed {
+			n.detailMachine(r.m, now)
 		}
-		// Most likely to be displaced first; the order is the same every time.
-		slices.SortFunc(r.victims, func(a, b victim) int {
-			return cmp.Or(cmp.Compare(a.prio, b.prio), cmp.Compare(a.lost, b.lost), strings.Compare(a.c.key, b.c.key), cmp.Compare(a.task, b.task))
-		})
-		slices.SortFunc(r.ends, func(a, b ending) int { return a.at.Compare(b.at) })
+		r.ends = append(r.ends, r.m.ends...)
+		r.victims = r.m.victims
 	}
 }
 
-func (n *Node) noteEnding(r *room, p *place, use [2]float64, now time.Time) {
+func (n *Node) detailMachine(m *machine, now time.Time) {
+	m.undetailed = false
+	m.ends, m.victims = m.ends[:0], nil // the list may still be in use by a pass
+	for name, p := range m.use.places {
+		if p.c.spec == nil {
+			continue
+		}
+		if t := m.tasks[name]; t != nil && t.Try == p.try && t.Phase == protocol.TaskExited {
+			continue
+		}
+		n.noteEnding(m, p, now)
+	}
+	// Most likely to be displaced first; the order is the same every time.
+	slices.SortFunc(m.victims, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.c.spec.Prio(), b.c.spec.Prio()), cmp.Compare(a.lost(now), b.lost(now)), strings.Compare(a.c.key, b.c.key), cmp.Compare(a.task, b.task))
+	})
+	slices.SortFunc(m.ends, func(a, b ending) int { return a.at.Compare(b.at) })
+}
+
+func (n *Node) noteEnding(m *machine, p *place, now time.Time) {
 	c := p.c
-	began, running := r.m.running[p.name]
-	ran := time.Duration(0)
-	if running {
-		ran = now.Sub(began)
+	began, running := m.running[p.name]
+	if !running {
+		began = now
 	}
 	_, evicted := c.evict[p.task]
 	if c.spec.Shape != protocol.Service {
-		left := max(n.estimate(c.spec)-ran, time.Second)
+		at := began.Add(n.estimate(c.spec))
 		if evicted {
-			left = 300 * time.Millisecond
+			at = now.Add(300 * time.Millisecond)
 		}
-		r.ends = append(r.ends, ending{now.Add(left), c.spec.CPUs, c.spec.GPUs, c.spec.MemGB})
+		m.ends = append(m.ends, ending{at, c.spec})
 	}
 	if evicted {
 		return
@@ -176,19 +186,37 @@
 	if c.spec.Shape == protocol.Gang && c.spec.Tasks > 1 {
 		return // stopping one task of a gang would end them all
 	}
-	lost := ran.Seconds()
-	if every := c.spec.SnapshotEvery(); every > 0 {
-		lost = min(lost, c.spec.Snapshot().Seconds())
+	m.victims = append(m.victims, victim{c: c, task: p.task, began: began})
+}
+
+// lost is the CPU time that displacing it now would throw away.
+func (v *victim) lost(now time.Time) float64 {
+	s := v.c.spec
+	lost := now.Sub(v.began).Seconds()
+	if s.SnapshotEveryS > 0 {
+		lost = min(lost, s.SnapshotS)
 	}
-	r.victims = append(r.victims, victim{c: c, task: p.task, prio: c.spec.Prio(), cpus: c.spec.CPUs, gpus: c.spec.GPUs,
-		mem: c.spec.MemGB, lost: lost * max(c.spec.CPUs, 1), team: c.spec.Team,
-		beyond: n.beyondGuarantee(c.spec, use)})
+	return max(lost, 0) * max(s.CPUs, 1)
+}
+
+// evict has a placement stopped.
+func (n *Node) evict(c *claim, task int, now time.Time) {
+	if c.evict == nil {
+		c.evict = make(map[int]time.Time)
+	}
+	c.evict[task] = now
+	for id, p := range c.on {
+		if id.task == task {
+			p.at.touch()
+		}
+	}
+	n.mark(c)
 }
 
 // beyondGuarantee tells whether a team borrows the kind of resource that a job
 // of its own uses.
-func (n *Node) beyondGuarantee(spec *protocol.Submission, use [2]float64) bool {
-	t := n.cfg.Teams[spec.Team]
+func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
+	t, use := n.cfg.Teams[spec.Team], n.teamRun[spec.Team]
 	if spec.GPUs > 0 {
 		return use[1] > t.GPUs+eps
 	}
@@ -206,7 +234,13 @@
 	blocked := false
 	failedSpecs := make(map[failKey]bool)
 	for _, u := range q {
-		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot}
+		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot, 0, ""}
+		if u.spec.Shape == protocol.Gang {
+			key.together = u.spec.Tasks
+		}
+		if len(u.spec.Types) > 0 {
+			key.types = strings.Join(u.spec.Types, " ")
+		}
 		if failedSpecs[key] || n.overLimit(u) {
 			continue
 		}
@@ -217,7 +251,8 @@
 		if !short || placed {
 			continue
 		}
-		failedSpecs[key] = !u.spec.Spread && !u.spec.SameZone && len(u.spec.Types) == 0
+		// Where its tasks are may keep a unit from room that others could use.
+		failedSpecs[key] = (!u.spec.Spread && !u.spec.SameZone) || u.c == nil || len(u.c.rec.Open) == 0
 		if blocked && u.spec.Shape == protocol.Array {
 			continue
 		}
@@ -278,7 +313,7 @@
 		return false
 	}
 	n.detail(rooms, now)
-	at, victims := displace(u.spec, u.j.ref, rooms, &z, false)
+	at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, false), now)
 	return len(victims) > 0 && rooms[at].holds(u.spec.Image) && n.makeRoom(s, u, rooms, now)
 }
 
@@ -323,6 +358,8 @@
 	zone            string
 	shape           protocol.Shape
 	spot            bool
+	together        int // tasks of a gang
+	types           string
 }
 
 func (n *Node) zonesOf(u *unit) zoneRule {
@@ -411,9 +448,8 @@
 
 func undo(s *protocol.Submission, picks []pick, rooms []*room) {
 	for _, pk := range picks {
-		r := rooms[pk.room]
-		r.cpus, r.gpus, r.mem = r.cpus+s.CPUs, r.gpus+s.GPUs, r.mem+s.MemGB
-		r.coming = ""
+		rooms[pk.room].give(s)
+		rooms[pk.room].coming = ""
 	}
 }
 
@@ -545,7 +581,7 @@
 	n.detail(rooms, now)
 	found := false
 	for range min(u.waiting(), 16) {
-		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.withinGuarantee(u.spec))
+		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, n.withinGuarantee(u.spec)), now)
 		if len(victims) == 0 {
 			break
 		}
@@ -553,19 +589,15 @@
 		u.j.displaced = now
 		r := rooms[at]
 		for _, v := range victims {
-			if v.c.evict == nil {
-				v.c.evict = make(map[int]time.Time)
-			}
-			v.c.evict[v.task] = now
-			n.mark(v.c)
-			r.cpus, r.gpus, r.mem = r.cpus+v.cpus, r.gpus+v.gpus, r.mem+v.mem
+			n.evict(v.c, v.task, now)
+			r.give(v.c.spec)
 			n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
 		}
 		// The room is spoken for in this pass.
 		r.take(u.spec)
 		z.add(u.spec, r.zone)
 		r.reservedFor, r.shadow = u.j.ref, now
-		r.victims = slices.DeleteFunc(r.victims, func(x victim) bool {
+		r.victims = slices.DeleteFunc(slices.Clone(r.victims), func(x victim) bool {
 			return slices.ContainsFunc(victims, func(v victim) bool { return v.c == x.c && v.task == x.task })
 		})
 		for _, v := range victims {
@@ -577,6 +609,14 @@
 	return found
 }
 
+// mayDisplace says whose work a job may displace: that of lower priority, and
+// for a job within its team's guarantee what another team borrows.
+func (n *Node) mayDisplace(spec *protocol.Submission, guaranteed bool) func(*protocol.Submission) bool {
+	return func(v *protocol.Submission) bool {
+		return v.Prio() < spec.Prio() || (guaranteed && v.Team != spec.Team && n.beyondGuarantee(v))
+	}
+}
+
 // withinGuarantee tells whether a job fits its team's guarantee beside what
 // the team runs now.
 func (n *Node) withinGuarantee(spec *protocol.Submission) bool {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -46,10 +46,14 @@
 	denied     time.Time            // refused a start for want of room: nothing new before
 	sick       bool
 
-	use     *hostUse
-	left    [3]float64 // CPUs, cards and memory that are free, unless stale
-	stale   bool
-	unclear bool // something of unknown size is there
+	use   *hostUse
+	left  [3]float64 // CPUs, cards and memory that are free, unless stale
+	stale bool
+	// When its tasks should end and which may be displaced, unless undetailed.
+	ends       []ending
+	victims    []victim
+	undetailed bool
+	unclear    bool // something of unknown size is there
 }
 
 // sentStart is a direct start whose fate is unknown. Network and hung machines
@@ -89,7 +93,7 @@
 		m.rec = *r
 		n.recallImages(m)
 	}
-	m.rec, m.stamp, m.stale = *r, stamp, true
+	m.rec, m.stamp, m.stale, m.undetailed = *r, stamp, true, true
 	n.shard(r.Shard).stirred = true
 	if r.State != "" {
 		n.shard(r.Shard).discharge(m)
@@ -135,11 +139,15 @@
 	now := time.Now()
 	anew := m.rep == nil || m.rep.Token != r.Token || m.rep.Session != r.Session
 	before := m.tasks
-	m.rep, m.heard, m.stale = r, now, true
+	m.rep, m.heard = r, now
 	m.tasks = make(map[string]*protocol.TaskReport, len(r.Tasks))
+	news := anew || len(before) != len(r.Tasks)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		m.tasks[t.Task] = t
+		if was := before[t.Task]; was == nil || was.Phase != t.Phase || was.Try != t.Try {
+			news = true
+		}
 		if t.Phase == protocol.TaskRunning || t.Phase == protocol.TaskWaiting {
 			if _, ok := m.running[t.Task]; !ok {
 				m.running[t.Task] = now
@@ -162,15 +170,14 @@
 	}
 	// Only claims about which the report says something new are looked at, and
 	// those it does not mention.
-	news := anew || len(before) != len(m.tasks)
 	for name, p := range m.use.places {
 		was, is := before[name], m.tasks[name]
 		if anew || is == nil || was == nil || was.Phase != is.Phase || was.Try != is.Try {
 			n.mark(p.c)
-			news = true
 		}
 	}
 	if news {
+		m.stale, m.undetailed = true, true
 		n.shard(m.rec.Shard).stirred = true
 		n.poke()
 	}
--- a/madderslip.go
+++ b/madderslip.go
@@ -91,6 +91,9 @@
 // Run serves until the context ends or an address can't be opened.
 func (c *Controller) Run(ctx context.Context) error {
 	ram := c.cfg.Settings.Machine.RAMBytes
+	// Processor time is scarcer than memory: collect less often than usual, and
+	// more often only when memory runs short.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(ram * 6 / 10)
 	ps, err := transport.ListenPeers(c.cfg.Settings.PeerBind, c.node.HandlePeer)
 	if err != nil {
