--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -105,7 +105,13 @@
 		return nil
 	}
 	for _, m := range n.returns {
-		if n.active(n.shards[m.rec.Shard]) && now.After(m.returnNext) && len(hosts) < 100 {
+		s := n.shards[m.rec.Shard]
+		switch {
+		case !n.active(s) || !now.After(m.returnNext):
+		case m.gone:
+			m.returnNext = now.Add(5 * time.Second)
+			n.recordGone(s, m)
+		case len(hosts) < 100:
 			hosts = append(hosts, m.host)
 		}
 	}
@@ -116,6 +122,15 @@
 	return hosts
 }
 
+// recordGone spares the shard's next owner to return a machine again, which
+// would prove the same: there is no hurry.
+func (n *Node) recordGone(s *shard, m *machine) {
+	rec := m.rec
+	rec.State = ledger.Gone
+	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
+		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 20*time.Second, func(error) {})
+}
+
 func (n *Node) returnHosts(ctx context.Context, hosts []string) {
 	var status int
 	err := n.cloud.Wait(ctx)
@@ -129,14 +144,18 @@
 		m := n.machines[host]
 		s := n.shards[m.rec.Shard]
 		m.returnNext = time.Now().Add(time.Second)
+		if err == nil && status == 200 {
+			m.returnNext = time.Now().Add(25 * time.Second) // the record's turn
+		}
 		if err != nil || status != 200 || !n.active(s) || m.rec.State != ledger.Returning {
 			continue
 		}
 		// The 200 proves that the machine and everything on it are gone.
-		rec := m.rec
-		rec.State = ledger.Gone
-		n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + host, Stamp: m.stamp}},
-			[]ledger.Op{{Key: ledger.MachineKeys + host, Value: &rec}}, 0, func(error) {})
+		m.gone = true
+		for _, p := range m.use.places {
+			n.mark(p.c)
+		}
+		n.recordGone(s, m)
 	}
 	n.log.Info("machines returned", "hosts", strings.Join(hosts, ","), "status", status, "err", err)
 }
@@ -226,6 +245,7 @@
 			}
 		}
 	}
+	wanted := n.typesWanted(s, now)
 	spare := 0.0
 	rooms := n.rooms(s, now)
 	for _, r := range rooms {
@@ -247,7 +267,8 @@
 			}
 			continue
 		}
-		if len(m.use.places) > 0 || held[m.host] || n.strays(m) || now.Sub(m.adoptedAt) < n.pol.Idle {
+		inDemand := wanted[machineKind{m.rec.Type, m.rec.Zone, m.rec.Spot}] && !m.sick && m.draining.IsZero()
+		if len(m.use.places) > 0 || inDemand || held[m.host] || n.strays(m) || now.Sub(m.adoptedAt) < n.pol.Idle {
 			m.idleSince = time.Time{}
 			continue
 		}
@@ -272,6 +293,24 @@
 	}
 }
 
+// typesWanted tells which kinds of machine the shard's queue could use. While
+// the state service is short of budget, work waits beside idle machines; to
+// return them and hire others just after would be paid twice.
+func (n *Node) typesWanted(s *shard, now time.Time) map[machineKind]bool {
+	wanted := make(map[machineKind]bool)
+	queue := n.queueOf(s, now)
+	for _, m := range s.machines {
+		kind := machineKind{m.rec.Type, m.rec.Zone, m.rec.Spot}
+		if _, known := wanted[kind]; known || n.types[m.rec.Type] == nil {
+			continue
+		}
+		wanted[kind] = slices.ContainsFunc(queue, func(u *unit) bool {
+			return canEver(u.spec, n.types[m.rec.Type]) && allowed(u.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && !n.overLimit(u)
+		})
+	}
+	return wanted
+}
+
 const (
 	consolidateGap = 10 * time.Second
 	weighGap       = 2 * time.Second // after finding no machine worth emptying
@@ -471,7 +510,8 @@
 func (n *Node) recordHire(rec *ledger.Hire) {
 	name := rec.Name
 	n.log.Info("hiring", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "count", rec.Count, "parts", rec.Parts)
-	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}},
+	// Hires are few and everything waits for the machines, so they go first.
+	n.commit(ledger.PrioLease, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}},
 		[]ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
 			h := n.hires[name]
 			if err != nil {
@@ -551,7 +591,7 @@
 		n.dropHire(h)
 		return
 	}
-	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + h.name, Stamp: h.stamp}},
+	n.commit(ledger.PrioLease, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + h.name, Stamp: h.stamp}},
 		[]ledger.Op{{Key: ledger.HireKeys + h.name, Value: &rec}}, 10*time.Second, func(error) { h.busy = false })
 }
 
@@ -648,7 +688,7 @@
 			free = n.allowance(spec)
 		}
 		for i := range j.chunks {
-			u := unit{j: j, c: j.claims[i], chunk: i, spec: spec}
+			u := unit{j: j, c: n.claimOf(j, i), chunk: i, spec: spec}
 			w := want{spec: spec, count: min(u.waiting(), free, 2000)}
 			if u.c != nil && u.c.rec != nil {
 				w.shard, w.taken = u.c.rec.Shard, n.zonesTaken(u.c)
--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -94,6 +94,9 @@
 		}
 	}
 	n.recount(c, live)
+	if j := n.jobs[c.ref]; j != nil {
+		n.hungry[c.ref] = j
+	}
 	if live {
 		n.mark(c)
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -26,6 +26,7 @@
 	Extend(ctx context.Context, permit uint64) error
 	Submit(t *ledger.Txn)
 	Share(live int)
+	Saw(key string, stamp uint64, exists bool)
 	LastOK() time.Time
 }
 
@@ -77,6 +78,8 @@
 	teamRun    map[string][2]float64
 	groups     map[string]group
 	imageRecs  map[string]*ledger.Images
+	hungry     map[string]*job       // those of which a task may be without a machine
+	intents    []string              // claims under way that the other controllers were not told of
 	outbox     map[*machine]struct{} // machines with commands to be sent
 	returns    map[string]*machine   // their return is recorded and not carried out
 	types      map[string]*protocol.MachineType
@@ -140,7 +143,7 @@
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
-		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
+		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), hungry: make(map[string]*job), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
 	}
 	n.shard(n.cfg.Node)
@@ -319,7 +322,7 @@
 	}
 	t.Done = func(res ledger.Result) {
 		if res.Err != nil {
-			n.refresh(res, ops)
+			n.refresh(res, t)
 		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -336,10 +339,20 @@
 
 // refresh reads the keys on which a transaction failed, since deciding again
 // from the same cache would only fail again.
-func (n *Node) refresh(res ledger.Result, ops []ledger.Op) {
-	keys := slices.Clone(res.Failed)
+func (n *Node) refresh(res ledger.Result, t *ledger.Txn) {
+	var keys []string
+	n.mu.Lock()
+	for _, c := range t.Conds {
+		// What the watch has brought meanwhile need not be read, except for users:
+		// the cache may be newer than the condition and still older than what
+		// another node has told them.
+		if slices.Contains(res.Failed, c.Key) && (t.Prio == ledger.PrioUser || n.stamps[c.Key] <= c.Stamp) {
+			keys = append(keys, c.Key)
+		}
+	}
+	n.mu.Unlock()
 	if errors.Is(res.Err, ledger.ErrUnknown) {
-		for _, op := range ops {
+		for _, op := range t.Ops {
 			keys = append(keys, op.Key)
 		}
 	}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -95,6 +95,13 @@
 		n.loads[l.Shard] = loadSeen{l, now}
 		n.queuedNow[l.Shard] = 0
 	}
+	for _, key := range msg.Intents {
+		// Advice: this node's own copy waits a little for the other's claim to
+		// be made, rather than spend budget on one that would fail.
+		if ref, chunk, err := ledger.SplitClaimKey(key); err == nil && n.jobs[ref] != nil && n.claims[key] == nil {
+			n.jobs[ref].lost[chunk] = now.Add(retryClaim)
+		}
+	}
 	if n.loaded {
 		for _, k := range msg.Fresh {
 			if len(k.Value) > 0 && (strings.HasPrefix(k.Key, ledger.JobKeys) || strings.HasPrefix(k.Key, ledger.ClaimKeys)) {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -30,10 +30,11 @@
 // waiting counts the unit's tasks that have no machine.
 func (u *unit) waiting() int {
 	_, count := u.bounds()
-	if u.c == nil || u.c.rec == nil {
+	if u.c == nil || u.c.latest() == nil {
 		return count
 	}
-	return max(0, count-u.c.rec.NumDone()-len(u.c.rec.Open))
+	rec := u.c.latest()
+	return max(0, count-rec.NumDone()-len(rec.Open))
 }
 
 // widenAfter is when a job may be taken by shards it was not queued at, since
@@ -47,28 +48,37 @@
 // queueOf is a shard's queue: by priority, then first come.
 func (n *Node) queueOf(s *shard, now time.Time) []*unit {
 	var q []*unit
-	for _, j := range n.jobs {
-		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() || now.Before(j.pause) {
+	for ref, j := range n.hungry {
+		if n.jobs[ref] != j || j.rec == nil || j.rec.Spec == nil || j.rec.Final() {
+			delete(n.hungry, ref)
+			continue
+		}
+		if now.Before(j.pause) {
 			continue
 		}
 		queued := slices.Contains(j.rec.At, s.name) || now.Sub(j.seen) > widenAfter
+		fed := true
 		for i := range j.chunks {
-			c := j.claims[i]
+			c := n.claimOf(j, i)
 			if c == nil {
-				c = n.claims[ledger.ClaimKey(j.ref, i)] // being committed
-			}
-			switch {
-			case c == nil:
+				fed = false
 				if queued && now.Sub(j.lost[i]) > retryClaim {
 					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
 				}
-			case c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && (!c.halted() || len(c.rec.Open) == 0):
-				u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec}
-				if u.waiting() > 0 {
-					q = append(q, u)
-				}
+				continue
+			}
+			u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec}
+			if c.pend == nil && u.waiting() == 0 {
+				continue
+			}
+			fed = false
+			if c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && (!c.halted() || len(c.rec.Open) == 0) {
+				q = append(q, u)
 			}
 		}
+		if fed {
+			delete(n.hungry, ref) // until a claim of it changes
+		}
 	}
 	slices.SortFunc(q, func(a, b *unit) int {
 		if a.spec.Prio() != b.spec.Prio() {
@@ -88,6 +98,14 @@
 	return q
 }
 
+// claimOf is the claim of a job's chunk, one that is being made included.
+func (n *Node) claimOf(j *job, chunk int) *claim {
+	if c := j.claims[chunk]; c != nil {
+		return c
+	}
+	return n.claims[ledger.ClaimKey(j.ref, chunk)]
+}
+
 // rooms is what each machine of a shard has free: everything that is or may
 // be on it counts, recorded or only reported.
 func (n *Node) rooms(s *shard, now time.Time) []*room { return n.roomsBut(s, "", now) }
@@ -433,6 +451,9 @@
 		undo(u.spec, picks, rooms)
 		return false, false // the old attempt has to be gone first
 	}
+	if u.c != nil {
+		n.bookDone(u.c, next)
+	}
 	next.Try++
 	for _, pk := range picks {
 		next.Open = append(next.Open, ledger.Placement{Task: pk.task, Try: next.Try, Host: rooms[pk.room].host})
@@ -514,6 +535,7 @@
 	}
 	n.claims[c.key] = c
 	n.setPend(c, next)
+	n.intents = append(n.intents, c.key)
 	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: 0})
 	return conds, ops, true
 }
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -33,11 +33,13 @@
 		}
 		tick.Stop()
 		n.mu.Lock()
+		began := time.Now()
 		if n.loaded {
-			n.pass(time.Now())
+			n.pass(began)
 		}
 		n.mu.Unlock()
-		if !pause(ctx, passGap) {
+		// Passes leave most of the time to answers, however long they take.
+		if !pause(ctx, max(passGap, 3*time.Since(began))) {
 			return
 		}
 	}
@@ -63,6 +65,10 @@
 	if n.leading() {
 		n.gather(now)
 	}
+	if len(n.intents) > 0 {
+		n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Intents: n.intents})
+		n.intents = nil
+	}
 	for ref, set := range n.orphans {
 		n.lookUp(ref, set, now)
 	}
@@ -119,7 +125,7 @@
 func (n *Node) settleClaim(s *shard, j *job, c *claim, now time.Time) {
 	next := c.rec.Clone()
 	next.Open = next.Open[:0]
-	changed, pressing, uneasy := false, j.chunks > 1 || n.limited(c.spec), j.rec.Final()
+	changed, pressing, uneasy := false, n.limited(c.spec), j.rec.Final()
 	if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 0 && len(c.rec.Open)+c.rec.NumDone() < c.rec.Count {
 		c.halt = c.rec.Try // it was placed whole, so a task has been lost
 	}
@@ -162,7 +168,7 @@
 		if n.finishJob(s, j, c, next) {
 			return
 		}
-		uneasy = true
+		pressing, uneasy = true, true // the job's other chunks wait for this one
 	}
 	if j.rec.Final() && len(next.Open) == 0 {
 		n.dropClaim(s, c)
@@ -201,7 +207,7 @@
 		n.learn(c.spec, m, name, now)
 		return completed
 	}
-	if m.rec.State == ledger.Gone {
+	if m.gone || m.rec.State == ledger.Gone {
 		return gone
 	}
 	if m.rep == nil {
@@ -252,6 +258,23 @@
 	return unsettled
 }
 
+// bookDone takes completions that are not booked yet into a version of a claim
+// that is about to be committed anyway.
+func (n *Node) bookDone(c *claim, next *ledger.Claim) {
+	next.Open = slices.DeleteFunc(next.Open, func(p ledger.Placement) bool {
+		m := n.machines[p.Host]
+		if m == nil || c.spec.Shape == protocol.Gang {
+			return false
+		}
+		t := m.tasks[c.nameOf(&p)]
+		if t == nil || t.Try != p.Try || t.Phase != protocol.TaskExited || t.Cause != protocol.CauseDone {
+			return false
+		}
+		next.SetDone(p.Task)
+		return true
+	})
+}
+
 // nameOf is the name of a placement's task.
 func (c *claim) nameOf(p *ledger.Placement) string {
 	if pl := c.on[slot{p.Task, p.Host}]; pl != nil {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -52,6 +52,14 @@
 	freshSpec bool
 }
 
+// latest is the version being committed, or else the committed one.
+func (c *claim) latest() *ledger.Claim {
+	if c.pend != nil {
+		return c.pend
+	}
+	return c.rec
+}
+
 // halted tells whether a gang's present attempt is being ended. The attempt's
 // number decides: with several owners not each of them sees an attempt's last
 // task go, and a mark that outlived its attempt would end the next one too.
@@ -78,6 +86,7 @@
 		return
 	}
 	n.stamps[key] = stamp
+	n.led.Saw(key, stamp, rec != nil)
 	switch {
 	case strings.HasPrefix(key, ledger.JobKeys):
 		r, _ := rec.(*ledger.Job)
@@ -190,6 +199,7 @@
 		r = &c
 	}
 	j.rec, j.stamp = r, stamp
+	n.hungry[ref] = j
 	if r.Final() && j.ended.IsZero() {
 		j.ended = time.Now()
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -45,6 +45,7 @@
 	errorJobs  map[string]time.Time // jobs whose tasks failed here, cleared by a success
 	denied     time.Time            // refused a start for want of room: nothing new before
 	sick       bool
+	gone       bool // the cloud has taken it back, which may not be recorded yet
 
 	use   *hostUse
 	left  [3]float64 // CPUs, cards and memory that are free, unless stale
@@ -449,7 +450,7 @@
 			conds = append(conds, ledger.Cond{Key: ledger.HireKeys + h.name, Stamp: h.stamp})
 		}
 	}
-	n.commit(ledger.PrioClaim, conds, []ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
+	n.commit(ledger.PrioLease, conds, []ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
 		if err == nil {
 			n.log.Info("machines adopted", "hosts", len(hosts), "type", kind.typ, "zone", kind.zone, "parts", rec.Parts)
 		}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -57,6 +57,8 @@
 	pending  []*Txn
 	inflight int
 	kick     chan struct{}
+	spent    [prios]spent
+	told     time.Time
 }
 
 // New makes a client; Run must be called for transactions to be sent.
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -32,8 +33,36 @@
 	PrioClaim
 	PrioDone
 	PrioRest
+	prios // how many there are
 )
 
+// spent is what one priority has used of the budgets since it was last logged.
+type spent struct{ changes, failed int }
+
+const tellEvery = 10 * time.Second
+
+// tell logs what the budgets went to and what waits. On-call people see here
+// that the state service's budget is what holds the cluster up.
+func (c *Client) tell(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.told) < tellEvery {
+		return
+	}
+	var waiting [prios]int
+	for _, t := range c.pending {
+		waiting[t.Prio]++
+	}
+	of := func(k int) slog.Attr {
+		return slog.Group([]string{"lease", "user", "claim", "done", "rest"}[k], "changes", c.spent[k].changes, "failed", c.spent[k].failed, "waiting", waiting[k])
+	}
+	if !c.told.IsZero() {
+		c.log.Info("state service budget", "seconds", int(now.Sub(c.told).Seconds()), of(PrioLease), of(PrioUser), of(PrioClaim), of(PrioDone), of(PrioRest),
+			"inflight", c.inflight)
+	}
+	c.told, c.spent = now, [prios]spent{}
+}
+
 // Txn is one small transaction. Several are sent together; a failed condition
 // of one does not sink its neighbours. Each must be conditional on versions
 // that make it harmless when it is applied late or twice.
@@ -71,7 +100,7 @@
 	txnTimeout  = 2 * time.Second
 	maxInflight = 6
 	pollGather  = 60 * time.Millisecond
-	patience    = 2 * time.Second
+	patience    = 3 * time.Second
 	batchBytes  = 60 << 10
 )
 
@@ -127,6 +156,7 @@
 		case <-tick.C:
 		}
 		c.expire(time.Now())
+		c.tell(time.Now())
 		for {
 			var batch []*Txn
 			if batch, wait = c.next(time.Now()); batch == nil {
@@ -161,7 +191,7 @@
 	if left := c.reqs.TokensAt(now); left < 1 {
 		return nil, waitFor(1-left, c.reqs.Limit())
 	}
-	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return a.Prio - b.Prio })
+	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return a.rank(now) - b.rank(now) })
 	pause := idle
 	budget := c.writes.TokensAt(now)
 	reads, oldest := 0, now
@@ -203,10 +233,7 @@
 // reserve is the budget that a transaction leaves to more urgent ones. None
 // waits for that for ever.
 func (c *Client) reserve(t *Txn, now time.Time) float64 {
-	if now.Sub(t.since) > patience {
-		return 0
-	}
-	switch t.Prio {
+	switch t.rank(now) {
 	case PrioRest:
 		return float64(c.writes.Burst()) * 0.5
 	case PrioDone:
@@ -215,6 +242,35 @@
 	return 0
 }
 
+// rank is a transaction's priority, raised by waiting as far as a claim's.
+func (t *Txn) rank(now time.Time) int {
+	if t.Prio <= PrioClaim {
+		return t.Prio
+	}
+	return max(PrioClaim, t.Prio-int(now.Sub(t.since)/patience))
+}
+
+// Saw tells of a version of a key seen elsewhere. Transactions that wait and
+// depend on an older one have failed already; sending them would only spend
+// the budget, which failing changes take from as much as others.
+func (c *Client) Saw(key string, stamp uint64, exists bool) {
+	c.mu.Lock()
+	var doomed []*Txn
+	c.pending = slices.DeleteFunc(c.pending, func(t *Txn) bool {
+		// One whose fate is unknown may itself have made that version.
+		// A key that has gone suits those that want it absent.
+		if t.unsure || !slices.ContainsFunc(t.Conds, func(d Cond) bool { return d.Stamp < stamp && d.Key == key && (exists || d.Stamp != 0) }) {
+			return false
+		}
+		doomed = append(doomed, t)
+		return true
+	})
+	c.mu.Unlock()
+	for _, t := range doomed {
+		go t.Done(Result{Err: ErrConflict, Epoch: stamp, Failed: []string{key}})
+	}
+}
+
 // expire ends transactions whose caller no longer waits.
 func (c *Client) expire(now time.Time) {
 	c.mu.Lock()
@@ -243,9 +299,12 @@
 	ops, size := 0, 0
 	conds := make(map[string]uint64)
 	written := make(map[string]bool)
+	spent := false
 	for _, t := range c.pending {
-		if (len(t.Ops) == 0) != reads || (!reads && float64(ops+len(t.Ops))+c.reserve(t, now) > budget) ||
-			!c.fits(t, batch, ops, size, conds, written) {
+		// What lacks budget holds the less urgent up: small ones that slipped
+		// past would eat the budget for ever before it suffices for a large one.
+		spent = spent || (!reads && len(t.Ops) > 0 && float64(ops+len(t.Ops))+c.reserve(t, now) > budget)
+		if (len(t.Ops) == 0) != reads || spent || !c.fits(t, batch, ops, size, conds, written) {
 			rest = append(rest, t)
 			continue
 		}
@@ -262,6 +321,9 @@
 	if len(batch) > 0 {
 		c.pending = rest
 		c.inflight++
+		for _, t := range batch {
+			c.spent[t.Prio].changes += len(t.Ops)
+		}
 	}
 	return batch, ops
 }
@@ -379,6 +441,9 @@
 				mine = append(mine, cond.Key)
 			}
 		}
+		c.mu.Lock()
+		c.spent[t.Prio].failed += len(t.Ops)
+		c.mu.Unlock()
 		switch {
 		case len(mine) > 0:
 			t.Done(Result{Err: ErrConflict, Epoch: epoch, Failed: mine})
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -8,6 +8,9 @@
 	From  string    `json:"from"`
 	Loads []Load    `json:"loads,omitempty"`
 	Fresh []KeyNews `json:"fresh,omitempty"`
+	// Intents are claims that the sender is about to make: its copies of the
+	// same work need not try as well.
+	Intents []string `json:"intents,omitempty"`
 	// StateOK tells that the sender heard from the state service just now.
 	StateOK bool `json:"stateOk"`
 }
