Work per change instead of walks over everything; a few records for many machines

Change: indexes by machine, shard and team; only changed claims are looked at; an array makes no more chunks than it has copies; completions are booked together; hires go in one record and one call for all shards; a claim in preparation is announced; less urgent writes wait for the urgent.

--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -95,6 +95,13 @@
 		n.loads[l.Shard] = loadSeen{l, now}
 		n.queuedNow[l.Shard] = 0
 	}
+	for _, key := range msg.Intents {
+		// Advice: this node's own copy waits a little for the other's claim to
+		// be made, rather than spend budget on one that would fail.
+		if ref, chunk, err := ledger.SplitClaimKey(key); err == nil && n.jobs[ref] != nil && n.claims[key] == nil {
+			n.jobs[ref].lost[chunk] = now.Add(retryClaim)
+		}
+	}
 	if n.loaded {
 		for _, k := range msg.Fresh {
 			if len(k.Value) > 0 && (strings.HasPrefix(k.Key, ledger.JobKeys) || strings.HasPrefix(k.Key, ledger.ClaimKeys)) {
@@ -105,21 +112,32 @@
 	return json.RawMessage("{}"), nil
 }
 
+// loadKeep is how long a shard's load, once worked out, serves its owner.
+const loadKeep = 200 * time.Millisecond
+
 // loadOf is a shard's load now.
 func (n *Node) loadOf(s *shard) protocol.Load {
+	now := time.Now()
+	if now.Sub(s.load.at) < loadKeep {
+		return s.load.load
+	}
 	l := protocol.Load{Shard: s.name, Holds: make(map[string]float64)}
-	for _, r := range n.rooms(s, time.Now()) {
+	for _, r := range n.rooms(s, now) {
 		l.CPUs += r.total.CPUs
 		l.Used += r.total.CPUs - r.cpus
 		if !r.usable {
 			continue
 		}
-		for _, u := range n.machines[r.host].images {
-			l.Holds[u.Name] = max(l.Holds[u.Name], r.cpus)
+		for _, u := range r.m.images {
+			if r.cpus > l.Holds[u.Name] {
+				l.Holds[u.Name] = r.cpus
+			}
 		}
 	}
-	for _, u := range n.queueOf(s, time.Now()) {
+	for _, u := range n.queueOf(s, now) {
 		l.Queued += u.spec.CPUs * float64(u.waiting())
 	}
+	s.load = loadSeen{l, now}
+	n.queuedNow[s.name] = 0
 	return l
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -29,10 +30,11 @@
 // waiting counts the unit's tasks that have no machine.
 func (u *unit) waiting() int {
 	_, count := u.bounds()
-	if u.c == nil || u.c.rec == nil {
+	if u.c == nil || u.c.latest() == nil {
 		return count
 	}
-	return max(0, count-u.c.rec.NumDone()-len(u.c.rec.Open))
+	rec := u.c.latest()
+	return max(0, count-rec.NumDone()-len(rec.Open))
 }
 
 // widenAfter is when a job may be taken by shards it was not queued at, since
@@ -46,27 +48,36 @@
 // queueOf is a shard's queue: by priority, then first come.
 func (n *Node) queueOf(s *shard, now time.Time) []*unit {
 	var q []*unit
-	for _, j := range n.jobs {
-		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() || now.Before(j.pause) {
+	for ref, j := range n.hungry {
+		if n.jobs[ref] != j || j.rec == nil || j.rec.Spec == nil || j.rec.Final() {
+			delete(n.hungry, ref)
+			continue
+		}
+		if now.Before(j.pause) {
 			continue
 		}
 		queued := slices.Contains(j.rec.At, s.name) || now.Sub(j.seen) > widenAfter
+		fed := true
 		for i := range j.chunks {
-			c := j.claims[i]
+			c := n.claimOf(j, i)
 			if c == nil {
-				c = n.claims[ledger.ClaimKey(j.ref, i)]
-			}
-			switch {
-			case c == nil:
+				fed = false
 				if queued && now.Sub(j.lost[i]) > retryClaim {
 					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
 				}
-			case c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && (!c.halted() || len(c.rec.Open) == 0):
-				u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec}
-				if u.waiting() > 0 {
-					q = append(q, u)
-				}
+				continue
+			}
+			u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec}
+			if c.pend == nil && u.waiting() == 0 {
+				continue
 			}
+			fed = false
+			if c.rec != nil && c.rec.Shard == s.name && c.pend == nil && !now.Before(c.again) && (!c.halted() || len(c.rec.Open) == 0) {
+				q = append(q, u)
+			}
+		}
+		if fed {
+			delete(n.hungry, ref) // until a claim of it changes
 		}
 	}
 	slices.SortFunc(q, func(a, b *unit) int {
@@ -87,22 +98,32 @@
 	return q
 }
 
+// claimOf is the claim of a job's chunk, one that is being made included.
+func (n *Node) claimOf(j *job, chunk int) *claim {
+	if c := j.claims[chunk]; c != nil {
+		return c
+	}
+	return n.claims[ledger.ClaimKey(j.ref, chunk)]
+}
+
 // rooms is what each machine of a shard has free: everything that is or may
 // be on it counts, recorded or only reported.
 func (n *Node) rooms(s *shard, now time.Time) []*room { return n.roomsBut(s, "", now) }
 
 // roomsBut is rooms, with what is held for the job but counted as free.
 func (n *Node) roomsBut(s *shard, but string, now time.Time) []*room {
-	byHost := make(map[string]*room)
-	var out []*room
-	for _, m := range n.machines {
-		if m.rec.Shard != s.name || m.rec.State != "" || n.types[m.rec.Type] == nil {
+	all := make([]room, len(s.machines))
+	out := make([]*room, 0, len(s.machines))
+	for i, m := range s.machines {
+		t := n.types[m.rec.Type]
+		if t == nil {
 			continue
 		}
-		t := n.typeOf(m.rec.Type)
-		r := &room{host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t,
-			cpus: t.CPUs, gpus: t.GPUs, mem: t.MemGB, images: m.holds, recentErrors: nil}
-		r.usable = m.rep != nil && !m.sick && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
+		r := &all[i]
+		*r = room{m: m, host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t}
+		r.cpus, r.gpus, r.mem = n.free(m)
+		// What is of unknown size is being ended by housekeeping.
+		r.usable = m.rep != nil && !m.sick && !m.unclear && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
 			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
 		for ref, at := range m.errorJobs {
 			if now.Sub(at) < 30*time.Second {
@@ -112,107 +133,114 @@
 				r.recentErrors[ref] = true
 			}
 		}
-		byHost[m.host] = r
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *room) int { return strings.Compare(a.host, b.host) })
-	counted := make(map[string]bool)
-	use := n.teamRunning()
-	for _, c := range n.claims {
-		if c.spec == nil {
-			continue
+	if len(n.gathers) > 0 {
+		byHost := make(map[string]*room, len(out))
+		for _, r := range out {
+			byHost[r.host] = r
 		}
-		n.charge(c, byHost, counted, use[c.spec.Team], now)
-	}
-	for _, r := range out {
-		n.chargeStrays(r, counted)
+		n.chargeHolds(s, but, byHost)
 	}
-	n.chargeHolds(s, but, byHost)
 	if now.Sub(n.cardsAt) < cardsRecent {
 		keepCards(out, n.pol.CardReserve)
 	}
 	return out
 }
 
-// charge takes a claim's placements, committed or being committed, out of the
-// free room, and notes when they should end and who might be displaced.
-func (n *Node) charge(c *claim, byHost map[string]*room, counted map[string]bool, use [2]float64, now time.Time) {
-	for _, rec := range []*ledger.Claim{c.rec, c.pend} {
-		if rec == nil {
+// detail notes when the tasks on each machine should end and who might be
+// displaced: only a pass with blocked work needs to know. What a machine's
+// tasks come to is kept until something about them changes.
+func (n *Node) detail(rooms []*room, now time.Time) {
+	for _, r := range rooms {
+		if r.detailed || r.m == nil {
 			continue
 		}
-		for _, p := range rec.Open {
-			r := byHost[p.Host]
-			if r == nil {
-				continue
-			}
-			name := protocol.TaskName(c.ref, p.Task)
-			if counted[p.Host+" "+name] {
-				continue
-			}
-			counted[p.Host+" "+name] = true
-			m := n.machines[p.Host]
-			if t := m.tasks[name]; t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited && c.pend != nil {
-				continue // its end is being committed
-			}
-			r.take(c.spec)
-			n.noteEnding(r, m, c, p, name, use, now)
+		r.detailed = true
+		if r.m.undetailed {
+			n.detailMachine(r.m, now)
+		}
+		r.ends = append(r.ends, r.m.ends...)
+		r.victims = r.m.victims
+	}
+}
+
+func (n *Node) detailMachine(m *machine, now time.Time) {
+	m.undetailed = false
+	m.ends, m.victims = m.ends[:0], nil // the list may still be in use by a pass
+	for name, p := range m.use.places {
+		if p.c.spec == nil {
+			continue
 		}
+		if t := m.tasks[name]; t != nil && t.Try == p.try && t.Phase == protocol.TaskExited {
+			continue
+		}
+		n.noteEnding(m, p, now)
 	}
+	// Most likely to be displaced first; the order is the same every time.
+	slices.SortFunc(m.victims, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.c.spec.Prio(), b.c.spec.Prio()), cmp.Compare(a.lost(now), b.lost(now)), strings.Compare(a.c.key, b.c.key), cmp.Compare(a.task, b.task))
+	})
+	slices.SortFunc(m.ends, func(a, b ending) int { return a.at.Compare(b.at) })
 }
 
-func (n *Node) noteEnding(r *room, m *machine, c *claim, p ledger.Placement, name string, use [2]float64, now time.Time) {
-	began, running := m.running[name]
-	ran := time.Duration(0)
-	if running {
-		ran = now.Sub(began)
+func (n *Node) noteEnding(m *machine, p *place, now time.Time) {
+	c := p.c
+	began, running := m.running[p.name]
+	if !running {
+		began = now
 	}
+	_, evicted := c.evict[p.task]
 	if c.spec.Shape != protocol.Service {
-		left := max(n.estimate(c.spec)-ran, time.Second)
-		if _, evicted := c.evict[p.Task]; evicted {
-			left = 300 * time.Millisecond
+		at := began.Add(n.estimate(c.spec))
+		if evicted {
+			at = now.Add(300 * time.Millisecond)
 		}
-		r.ends = append(r.ends, ending{now.Add(left), c.spec.CPUs, c.spec.GPUs, c.spec.MemGB})
+		m.ends = append(m.ends, ending{at, c.spec})
 	}
-	if _, evicted := c.evict[p.Task]; evicted {
+	if evicted {
 		return
 	}
 	if c.spec.Shape == protocol.Gang && c.spec.Tasks > 1 {
 		return // stopping one task of a gang would end them all
 	}
-	lost := ran.Seconds()
-	if every := c.spec.SnapshotEvery(); every > 0 {
-		lost = min(lost, c.spec.Snapshot().Seconds())
+	m.victims = append(m.victims, victim{c: c, task: p.task, began: began})
+}
+
+// lost is the CPU time that displacing it now would throw away.
+func (v *victim) lost(now time.Time) float64 {
+	s := v.c.spec
+	lost := now.Sub(v.began).Seconds()
+	if s.SnapshotEveryS > 0 {
+		lost = min(lost, s.SnapshotS)
 	}
-	r.victims = append(r.victims, victim{c: c, task: p.Task, prio: c.spec.Prio(), cpus: c.spec.CPUs, gpus: c.spec.GPUs,
-		mem: c.spec.MemGB, lost: lost * max(c.spec.CPUs, 1), team: c.spec.Team,
-		beyond: n.beyondGuarantee(c.spec, use)})
+	return max(lost, 0) * max(s.CPUs, 1)
+}
+
+// evict has a placement stopped.
+func (n *Node) evict(c *claim, task int, now time.Time) {
+	if c.evict == nil {
+		c.evict = make(map[int]time.Time)
+	}
+	c.evict[task] = now
+	for id, p := range c.on {
+		if id.task == task {
+			p.at.touch()
+		}
+	}
+	n.mark(c)
 }
 
 // beyondGuarantee tells whether a team borrows the kind of resource that a job
 // of its own uses.
-func (n *Node) beyondGuarantee(spec *protocol.Submission, use [2]float64) bool {
-	t := n.cfg.Teams[spec.Team]
+func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
+	t, use := n.cfg.Teams[spec.Team], n.teamRun[spec.Team]
 	if spec.GPUs > 0 {
 		return use[1] > t.GPUs+eps
 	}
 	return t.CPUs > 0 && use[0] > t.CPUs+eps
 }
 
-// chargeStrays counts tasks that a machine reports but no placement explains.
-func (n *Node) chargeStrays(r *room, counted map[string]bool) {
-	for name, t := range n.machines[r.host].tasks {
-		if t.Phase == protocol.TaskExited || counted[r.host+" "+name] {
-			continue
-		}
-		if spec := n.specOf(name); spec != nil {
-			r.take(spec)
-		} else {
-			r.usable = false // of unknown size; housekeeping is ending it
-		}
-	}
-}
-
 // schedule is one pass over a shard's queue: first come first served within a
 // priority, with EASY backfilling around a reservation for the head job.
 func (n *Node) schedule(s *shard, now time.Time) {
@@ -224,7 +252,13 @@
 	blocked := false
 	failedSpecs := make(map[failKey]bool)
 	for _, u := range q {
-		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot}
+		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot, 0, ""}
+		if u.spec.Shape == protocol.Gang {
+			key.together = u.spec.Tasks
+		}
+		if len(u.spec.Types) > 0 {
+			key.types = strings.Join(u.spec.Types, " ")
+		}
 		if failedSpecs[key] || n.overLimit(u) {
 			continue
 		}
@@ -235,7 +269,8 @@
 		if !short || placed {
 			continue
 		}
-		failedSpecs[key] = !u.spec.Spread && !u.spec.SameZone && len(u.spec.Types) == 0
+		// Where its tasks are may keep a unit from room that others could use.
+		failedSpecs[key] = (!u.spec.Spread && !u.spec.SameZone) || u.c == nil || len(u.c.rec.Open) == 0
 		if blocked && u.spec.Shape == protocol.Array {
 			continue
 		}
@@ -244,6 +279,7 @@
 		// holding a machine for them in time throws less work away.
 		blocked = true
 		z := n.zonesOf(u)
+		n.detail(rooms, now)
 		held, start := reserve(u.spec, u.j.ref, rooms, &z, now)
 		if held == nil || start.After(n.startBy(u, rooms, &z, now)) {
 			if n.makeRoom(s, u, rooms, now) && held != nil && held.shadow.After(now) {
@@ -287,15 +323,16 @@
 	}
 	z := n.zonesOf(u)
 	i := choose(u.spec, u.j.ref, rooms, &z, 0, now)
-	if i < 0 || rooms[i].images(u.spec.Image) {
+	if i < 0 || rooms[i].holds(u.spec.Image) {
 		return false
 	}
 	by := n.startBy(u, rooms, &z, now)
 	if !by.After(now) || !now.Add(rooms[i].fetch(u.spec)).After(by) {
 		return false
 	}
-	at, victims := displace(u.spec, u.j.ref, rooms, &z, false)
-	return len(victims) > 0 && rooms[at].images(u.spec.Image) && n.makeRoom(s, u, rooms, now)
+	n.detail(rooms, now)
+	at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, false), now)
+	return len(victims) > 0 && rooms[at].holds(u.spec.Image) && n.makeRoom(s, u, rooms, now)
 }
 
 // lateWait is how long a job that has missed all its objectives waits for room
@@ -339,6 +376,8 @@
 	zone            string
 	shape           protocol.Shape
 	spot            bool
+	together        int // tasks of a gang
+	types           string
 }
 
 func (n *Node) zonesOf(u *unit) zoneRule {
@@ -364,7 +403,7 @@
 
 // allowance is how many more tasks of a job its team's limit permits.
 func (n *Node) allowance(spec *protocol.Submission) int {
-	limit, use := n.cfg.Teams[spec.Team], n.teamRunning()[spec.Team]
+	limit, use := n.cfg.Teams[spec.Team], n.teamRun[spec.Team]
 	free := math.MaxInt32
 	if limit.CPUsMax > 0 && spec.CPUs > 0 {
 		free = min(free, int((limit.CPUsMax-use[0]+eps)/spec.CPUs))
@@ -412,6 +451,9 @@
 		undo(u.spec, picks, rooms)
 		return false, false // the old attempt has to be gone first
 	}
+	if u.c != nil {
+		n.bookDone(u.c, next)
+	}
 	next.Try++
 	for _, pk := range picks {
 		next.Open = append(next.Open, ledger.Placement{Task: pk.task, Try: next.Try, Host: rooms[pk.room].host})
@@ -427,8 +469,8 @@
 
 func undo(s *protocol.Submission, picks []pick, rooms []*room) {
 	for _, pk := range picks {
-		r := rooms[pk.room]
-		r.cpus, r.gpus, r.mem = r.cpus+s.CPUs, r.gpus+s.GPUs, r.mem+s.MemGB
+		rooms[pk.room].give(s)
+		rooms[pk.room].coming = ""
 	}
 }
 
@@ -439,7 +481,7 @@
 		open[p.Task] = true
 	}
 	est := n.estimate(u.spec)
-	most := maxOpen - len(open)
+	most := n.cfg.StateLimit.MaxOpen() - len(open)
 	if n.limited(u.spec) {
 		most = min(most, n.allowance(u.spec))
 	}
@@ -453,6 +495,7 @@
 			break
 		}
 		rooms[i].take(u.spec)
+		rooms[i].coming = u.spec.Image
 		z.add(u.spec, rooms[i].zone)
 		picks = append(picks, pick{t, i})
 	}
@@ -490,8 +533,9 @@
 	if t != nil {
 		t.busy = true
 	}
-	c.pend = next
 	n.claims[c.key] = c
+	n.setPend(c, next)
+	n.intents = append(n.intents, c.key)
 	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: 0})
 	return conds, ops, true
 }
@@ -500,7 +544,7 @@
 // node owns one of its shards and that has room for all that must start
 // together.
 func (n *Node) claimAtOnce(spec *protocol.Submission, at []string, now time.Time) (*claim, *shard, []ledger.Cond) {
-	size := chunkSize(spec, n.pol.ChunkTasks)
+	size := chunkSize(spec, n.pol.ChunkTasks, n.pol.Copies)
 	if size < spec.Tasks || n.limited(spec) {
 		return nil, nil, nil
 	}
@@ -556,9 +600,10 @@
 		return false
 	}
 	z := n.zonesOf(u)
+	n.detail(rooms, now)
 	found := false
 	for range min(u.waiting(), 16) {
-		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.withinGuarantee(u.spec))
+		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, n.withinGuarantee(u.spec)), now)
 		if len(victims) == 0 {
 			break
 		}
@@ -566,18 +611,15 @@
 		u.j.displaced = now
 		r := rooms[at]
 		for _, v := range victims {
-			if v.c.evict == nil {
-				v.c.evict = make(map[int]time.Time)
-			}
-			v.c.evict[v.task] = now
-			r.cpus, r.gpus, r.mem = r.cpus+v.cpus, r.gpus+v.gpus, r.mem+v.mem
+			n.evict(v.c, v.task, now)
+			r.give(v.c.spec)
 			n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
 		}
 		// The room is spoken for in this pass.
 		r.take(u.spec)
 		z.add(u.spec, r.zone)
 		r.reservedFor, r.shadow = u.j.ref, now
-		r.victims = slices.DeleteFunc(r.victims, func(x victim) bool {
+		r.victims = slices.DeleteFunc(slices.Clone(r.victims), func(x victim) bool {
 			return slices.ContainsFunc(victims, func(v victim) bool { return v.c == x.c && v.task == x.task })
 		})
 		for _, v := range victims {
@@ -589,6 +631,14 @@
 	return found
 }
 
+// mayDisplace says whose work a job may displace: that of lower priority, and
+// for a job within its team's guarantee what another team borrows.
+func (n *Node) mayDisplace(spec *protocol.Submission, guaranteed bool) func(*protocol.Submission) bool {
+	return func(v *protocol.Submission) bool {
+		return v.Prio() < spec.Prio() || (guaranteed && v.Team != spec.Team && n.beyondGuarantee(v))
+	}
+}
+
 // withinGuarantee tells whether a job fits its team's guarantee beside what
 // the team runs now.
 func (n *Node) withinGuarantee(spec *protocol.Submission) bool {
@@ -596,7 +646,7 @@
 	if t.CPUs == 0 && t.GPUs == 0 {
 		return false
 	}
-	use := n.teamRunning()[spec.Team]
+	use := n.teamRun[spec.Team]
 	cpus, gpus := use[0]+spec.CPUs*float64(spec.Tasks), use[1]+spec.GPUs*float64(spec.Tasks)
 	if spec.GPUs > 0 {
 		return t.GPUs > 0 && gpus <= t.GPUs+eps && (t.CPUs == 0 || cpus <= t.CPUs+eps)
@@ -604,22 +654,3 @@
 	// A guarantee of cards alone gives work without cards no claim on others.
 	return t.CPUs > 0 && cpus <= t.CPUs+eps
 }
-
-// teamRunning is what each team's placements take: CPUs and GPUs.
-func (n *Node) teamRunning() map[string][2]float64 {
-	use := make(map[string][2]float64)
-	for _, c := range n.claims {
-		rec := c.rec
-		if rec == nil {
-			rec = c.pend
-		}
-		if rec == nil || c.spec == nil {
-			continue
-		}
-		u := use[c.spec.Team]
-		u[0] += float64(len(rec.Open)) * c.spec.CPUs
-		u[1] += float64(len(rec.Open)) * c.spec.GPUs
-		use[c.spec.Team] = u
-	}
-	return use
-}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -41,6 +41,23 @@
 	evict map[int]time.Time // tasks to be stopped, and since when
 	again time.Time         // earliest next commit after a conflict
 	halt  uint64            // gang: the attempt that is being ended
+	look  time.Time         // not to be looked at before
+	ripe  time.Time         // when the first completion not yet booked was seen
+
+	// Kept by reindex.
+	on        map[slot]*place
+	gen       uint32
+	sum       tally
+	shard     string
+	freshSpec bool
+}
+
+// latest is the version being committed, or else the committed one.
+func (c *claim) latest() *ledger.Claim {
+	if c.pend != nil {
+		return c.pend
+	}
+	return c.rec
 }
 
 // halted tells whether a gang's present attempt is being ended. The attempt's
@@ -69,6 +86,7 @@
 		return
 	}
 	n.stamps[key] = stamp
+	n.led.Saw(key, stamp, rec != nil)
 	switch {
 	case strings.HasPrefix(key, ledger.JobKeys):
 		r, _ := rec.(*ledger.Job)
@@ -91,12 +109,11 @@
 			t.rec, t.stamp = *r, stamp
 		}
 	case strings.HasPrefix(key, ledger.HireKeys):
-		name := strings.TrimPrefix(key, ledger.HireKeys)
-		if r, _ := rec.(*ledger.Hire); r == nil {
-			delete(n.hires, name)
-		} else {
-			n.hires[name] = &hire{name: name, rec: *r, stamp: stamp}
-		}
+		r, _ := rec.(*ledger.Hire)
+		n.storeHire(strings.TrimPrefix(key, ledger.HireKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.ImageKeys):
+		r, _ := rec.(*ledger.Images)
+		n.storeImages(key, r)
 	case strings.HasPrefix(key, ledger.GatherKeys):
 		r, _ := rec.(*ledger.Gather)
 		n.storeGather(strings.TrimPrefix(key, ledger.GatherKeys), r, stamp)
@@ -148,6 +165,8 @@
 		return new(ledger.Team)
 	case strings.HasPrefix(key, ledger.HireKeys):
 		return new(ledger.Hire)
+	case strings.HasPrefix(key, ledger.ImageKeys):
+		return new(ledger.Images)
 	case strings.HasPrefix(key, ledger.GatherKeys):
 		return new(ledger.Gather)
 	case strings.HasPrefix(key, ledger.HoldKeys):
@@ -180,11 +199,13 @@
 		r = &c
 	}
 	j.rec, j.stamp = r, stamp
+	n.hungry[ref] = j
 	if r.Final() && j.ended.IsZero() {
 		j.ended = time.Now()
 	}
 	if r.Spec != nil {
-		j.size = chunkSize(r.Spec, n.pol.ChunkTasks)
+		// From the record: every controller must cut a job the same way.
+		j.size = max(1, r.Size)
 		j.chunks = (r.Spec.Tasks + j.size - 1) / j.size
 	}
 	for key, c := range n.orphans[ref] {
@@ -193,7 +214,8 @@
 	}
 	delete(n.orphans, ref)
 	for _, c := range j.claims {
-		c.spec = r.Spec
+		n.setSpec(c, r.Spec)
+		n.mark(c)
 	}
 	n.forgetIfOver(j)
 }
@@ -202,7 +224,20 @@
 
 func (n *Node) attach(j *job, c *claim) {
 	j.claims[c.chunk] = c
-	c.spec = j.rec.Spec
+	n.setSpec(c, j.rec.Spec)
+}
+
+func (n *Node) setSpec(c *claim, spec *protocol.Submission) {
+	if c.spec != spec {
+		c.spec, c.freshSpec = spec, true
+		n.reindex(c)
+	}
+}
+
+// setPend says which version of a claim is being committed, if any.
+func (n *Node) setPend(c *claim, next *ledger.Claim) {
+	c.pend = next
+	n.reindex(c)
 }
 
 // remember keeps only a small entry of a final job.
@@ -263,10 +298,18 @@
 		n.orphans[ref][key] = c
 	}
 	c.rec, c.stamp = r, stamp
+	c.ripe = time.Time{}
+	n.reindex(c)
+	if j != nil && j.chunks > 1 && r.Full() {
+		for _, o := range j.claims {
+			n.mark(o) // the job may be over
+		}
+	}
 }
 
 func (n *Node) unlinkClaim(c *claim) {
 	delete(n.claims, c.key)
+	n.reindex(c)
 	delete(n.orphans[c.ref], c.key)
 	if j := n.jobs[c.ref]; j != nil {
 		delete(j.claims, c.chunk)
@@ -287,14 +330,15 @@
 
 // chunkSize is how many tasks of a job are claimed together. Gangs, services
 // and jobs whose tasks depend on one another's zones are claimed whole, so
-// that one record decides where their tasks may go. The number of chunks is
-// bounded, since finishing a job compares them all.
-func chunkSize(s *protocol.Submission, usual int) int {
-	const maxChunks = 24
+// that one record decides where their tasks may go. An array makes no more
+// chunks than it has copies: each costs its own writes.
+func chunkSize(s *protocol.Submission, usual, copies int) int {
+	const maxChunks = 24 // finishing a job compares them all
 	if s.Shape != protocol.Array || s.SameZone || s.Spread {
 		return s.Tasks
 	}
-	size := max(usual, (s.Tasks+maxChunks-1)/maxChunks)
+	parts := min(copies, maxChunks)
+	size := max(usual, (s.Tasks+parts-1)/parts)
 	return min(size, s.Tasks)
 }
 
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/bits"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -21,6 +23,7 @@
 	ClaimKeys   = "c/" // c/<ref>/<chunk>: a claimed chunk, its placements and completions
 	TeamKeys    = "t/" // t/<team>: what a limited team has reserved, by shard
 	HireKeys    = "h/" // h/<name>: a rental that may have been sent
+	ImageKeys   = "i/" // i/<shard>/<part>: the images that a part of its machines hold
 	GatherKeys  = "g/" // g/<ref>: the leader gathers room for a job, attached to its lease
 	HoldKeys    = "o/" // o/<ref>/<shard>: room that a shard holds for it, attached to the owner's lease
 	LeaderKey   = "lead"
@@ -45,17 +48,22 @@
 	Type  string `json:"t"`
 	Zone  string `json:"z"`
 	Spot  bool   `json:"s,omitempty"`
-	Addr  string `json:"a,omitempty"`
 	State string `json:"x,omitempty"` // "", Returning or Gone
 	Born  int64  `json:"b,omitempty"` // Unix milliseconds of the rental, for boot patience only
-	// Images it holds, least recently used first, so that the next owner knows.
-	Images []ImageUse `json:"i,omitempty"`
 }
 
 // ImageUse is an image in a machine's cache.
 type ImageUse struct {
-	Name string  `json:"n"`
-	GB   float64 `json:"g,omitempty"`
+	Name string
+	GB   float64
+}
+
+// Images is which images a part of a shard's machines hold, so that the next
+// owner knows: indexes into Names by host, least recently used first.
+type Images struct {
+	Names []string         `json:"n"`
+	GB    []float64        `json:"g"`
+	Hosts map[string][]int `json:"m"`
 }
 
 // States of a machine. Both are final: such a machine is given nothing more.
@@ -71,6 +79,7 @@
 	Born  int64                `json:"b,omitempty"` // Unix milliseconds of acceptance, for order and advice only
 	State string               `json:"x,omitempty"` // "", protocol.Done or protocol.Cancelled
 	Tasks int                  `json:"n,omitempty"` // of a final job
+	Size  int                  `json:"k,omitempty"` // tasks in a chunk
 }
 
 // Final tells whether nothing can change any more.
@@ -109,33 +118,72 @@
 	Shard string      `json:"h"` // empty: on machines of several shards, each owner minds its own
 	First int         `json:"f,omitempty"`
 	Count int         `json:"n"`
-	Done  []byte      `json:"d,omitempty"`
+	Done  Bitmap      `json:"d,omitempty"`
 	Open  []Placement `json:"o,omitempty"`
 	Try   uint64      `json:"a,omitempty"` // the highest attempt given out
 }
 
+// Bitmap is a set of small numbers, bit by bit. In a record it is a list of
+// ranges, from and up to: tasks are placed in order, so there are few, while the
+// bits of a chunk of some ten thousand tasks would not fit a small value.
+type Bitmap []byte
+
+func (b Bitmap) has(i int) bool { return i >= 0 && i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// MarshalJSON writes the ranges.
+func (b Bitmap) MarshalJSON() ([]byte, error) {
+	var ranges []int
+	for i := 0; i < 8*len(b); i++ {
+		if b.has(i) != (len(ranges)%2 == 1) {
+			ranges = append(ranges, i)
+		}
+	}
+	if len(ranges)%2 == 1 {
+		ranges = append(ranges, 8*len(b))
+	}
+	return json.Marshal(ranges)
+}
+
+// UnmarshalJSON undoes MarshalJSON.
+func (b *Bitmap) UnmarshalJSON(raw []byte) error {
+	var ranges []int
+	if err := json.Unmarshal(raw, &ranges); err != nil {
+		return err
+	}
+	if len(ranges)%2 == 1 || !slices.IsSorted(ranges) || (len(ranges) > 0 && (ranges[0] < 0 || ranges[len(ranges)-1] > protocol.MaxTasks+8)) {
+		return fmt.Errorf("ranges %v", ranges)
+	}
+	*b = nil
+	for k := 0; k < len(ranges); k += 2 {
+		for i := ranges[k]; i < ranges[k+1]; i++ {
+			b.set(i)
+		}
+	}
+	return nil
+}
+
+func (b *Bitmap) set(i int) {
+	for len(*b) <= i/8 {
+		*b = append(*b, 0)
+	}
+	(*b)[i/8] |= 1 << (i % 8)
+}
+
 // IsDone tells whether a task of the chunk is done.
 func (c *Claim) IsDone(task int) bool {
-	i := task - c.First
-	return i >= 0 && i/8 < len(c.Done) && c.Done[i/8]&(1<<(i%8)) != 0
+	return c.Done.has(task - c.First)
 }
 
 // SetDone marks a task of the chunk done.
 func (c *Claim) SetDone(task int) {
-	i := task - c.First
-	for len(c.Done) <= i/8 {
-		c.Done = append(c.Done, 0)
-	}
-	c.Done[i/8] |= 1 << (i % 8)
+	c.Done.set(task - c.First)
 }
 
 // NumDone counts the tasks that are done.
 func (c *Claim) NumDone() int {
 	n := 0
-	for t := c.First; t < c.First+c.Count; t++ {
-		if c.IsDone(t) {
-			n++
-		}
+	for _, b := range c.Done {
+		n += bits.OnesCount8(b)
 	}
 	return n
 }
@@ -146,8 +194,8 @@
 // Clone copies a claim so that it can be changed.
 func (c *Claim) Clone() *Claim {
 	d := *c
-	d.Done = append([]byte(nil), c.Done...)
-	d.Open = append([]Placement(nil), c.Open...)
+	d.Done = slices.Clone(c.Done)
+	d.Open = slices.Clone(c.Open)
 	return &d
 }
 
@@ -156,11 +204,42 @@
 	Use map[string][2]float64 `json:"u"`
 }
 
-// Hire is a rental that was recorded before it was sent.
+// Hire is a rental that was recorded before it was sent, and in the end the
+// record of the machines it brought: one for all of them. Machines that nobody
+// expected get such a record too.
 type Hire struct {
 	protocol.Hire
-	Shard string `json:"z"`
-	Born  int64  `json:"b"`
+	Parts []Part   `json:"p"`
+	Born  int64    `json:"b"`           // Unix milliseconds
+	Hosts []string `json:"m,omitempty"` // the first parts get the first machines
+}
+
+// Part is how many of a hire's machines go to a shard.
+type Part struct {
+	Shard string `json:"h"`
+	Count int    `json:"n"`
+}
+
+// Share gives a shard one more of the machines.
+func (h *Hire) Share(shard string) {
+	for i := range h.Parts {
+		if h.Parts[i].Shard == shard {
+			h.Parts[i].Count++
+			return
+		}
+	}
+	h.Parts = append(h.Parts, Part{shard, 1})
+}
+
+// ShardOf is the shard of a hire's i-th machine.
+func (h *Hire) ShardOf(i int) string {
+	for _, p := range h.Parts {
+		if i < p.Count {
+			return p.Shard
+		}
+		i -= p.Count
+	}
+	return h.Parts[len(h.Parts)-1].Shard
 }
 
 // Gather asks the owners of shards to hold room for a job wider than any shard.
