--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -464,7 +464,7 @@
 	for _, w := range wants {
 		need = append(need, n.fill(&supply, w, now, math.Inf(1))...)
 	}
-	budget := n.arrayBudget(arrays, supply)
+	budget := n.arrayBudget(arrays, supply, now)
 	for _, w := range arrays {
 		got := n.fill(&supply, w, now, budget)
 		for _, o := range got {
@@ -699,6 +699,9 @@
 			if w.count <= 0 || now.Before(j.pause) {
 				continue
 			}
+			if u.together() && w.shard == "" && len(j.rec.At) > 0 {
+				w.shard = j.rec.At[0] // a gang needs its machines side by side
+			}
 			free -= w.count
 			if spec.Shape == protocol.Array {
 				arrays = append(arrays, w)
@@ -732,13 +735,14 @@
 }
 
 // arrayBudget is how many more CPUs the waiting arrays deserve: enough to work
-// off their queue in the time that they may wait.
-func (n *Node) arrayBudget(arrays []want, supply []*room) float64 {
-	work := 0.0
+// off each in the time that its objectives leave it.
+func (n *Node) arrayBudget(arrays []want, supply []*room, now time.Time) float64 {
+	need := 0.0
 	for _, w := range arrays {
-		work += float64(w.count) * w.spec.CPUs * max(n.estimate(w.spec).Seconds(), 1)
+		est := max(n.estimate(w.spec), time.Second)
+		need += float64(w.count) * w.spec.CPUs * est.Seconds() / n.arrayTime(w, est, now).Seconds()
 	}
-	if work == 0 {
+	if need == 0 {
 		return 0
 	}
 	have := 0.0
@@ -752,7 +756,35 @@
 			have += float64(len(c.rec.Open)) * c.spec.CPUs
 		}
 	}
-	return max(0, work/n.pol.ArrayWait.Seconds()-have)
+	return max(0, need-have)
+}
+
+// arrayTime is the time in which an array should be worked off: what is left,
+// once new machines are up, of the nearest objective that they can still meet,
+// with a margin. One that can meet none is given array_wait twice over: it is
+// late, but machines hired in a rush for it cost as much as those in time.
+func (n *Node) arrayTime(w want, est time.Duration, now time.Time) time.Duration {
+	boot := time.Duration(0)
+	for _, t := range n.types {
+		if canEver(w.spec, t) && (boot == 0 || t.Boot() < boot) {
+			boot = t.Boot()
+		}
+	}
+	u := &unit{j: n.jobs[w.spec.Ref], spec: w.spec}
+	best := time.Duration(0)
+	for _, o := range n.cfg.Objectives {
+		start, ok := n.objectiveStart(o, u)
+		if !ok || o.Kind == "wait" || o.Kind == "guarantee" {
+			continue
+		}
+		if left := start.Sub(now) + est - boot; left >= est && (best == 0 || left < best) {
+			best = left
+		}
+	}
+	if best == 0 {
+		return max(2*n.pol.ArrayWait, est)
+	}
+	return max(best*7/10, n.pol.ArrayWait, est)
 }
 
 // fill puts a want into the supply and returns the machines to hire for what
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -1,8 +1,11 @@
 package coordination
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"madderslip/internal/protocol"
@@ -165,9 +168,13 @@
 
 func rank(s *protocol.Submission, r *room, z *zoneRule) [4]float64 {
 	var score [4]float64
-	// Work without cards leaves machines with free cards to those that need them.
+	// Work without cards leaves machines with free cards to those that need
+	// them, and most of them may not use cheap machines.
 	if s.GPUs == 0 && r.gpus > 0 {
-		score[0] = 1
+		score[0] = 2
+		if r.spot {
+			score[0] = 1
+		}
 	}
 	holds := r.holds(s.Image)
 	if !holds {
@@ -196,32 +203,86 @@
 	return r.spareC+eps >= s.CPUs && r.spareG+eps >= s.GPUs && r.spareM+eps >= s.MemGB
 }
 
-// reserve gives a job the machine on which it can start first, the fetch of
-// its image included, and returns that machine, if there is one, and when.
-func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, now time.Time) (held *room, start time.Time) {
-	best, bestAt := -1, time.Time{}
-	for i, r := range rooms {
+// slotAt is room for one task that a machine has at some time.
+type slotAt struct {
+	r     *room
+	at    time.Time // when the room is there
+	ready time.Time // when the image is there too
+}
+
+// reserve gives a job the machines on which so many of its tasks can start
+// together first, the fetch of the image included, and returns them, if there
+// are enough, and when.
+func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, need int, now time.Time) (held []*room, start time.Time) {
+	slots := make(map[string][]slotAt)
+	for _, r := range rooms {
 		if !r.takes(s, z) || r.reservedFor != "" || !canEver(s, r.total) {
 			continue
 		}
-		at, can := shadowTime(s, r, now)
-		if can && (best < 0 || at.Add(r.fetch(s)).Before(start)) {
-			best, bestAt, start = i, at, at.Add(r.fetch(s))
+		zone := ""
+		if s.SameZone {
+			zone = r.zone
+		}
+		slots[zone] = slotsOf(s, r, slots[zone], need, now)
+	}
+	var best []slotAt
+	for _, list := range slots {
+		if len(list) < need {
+			continue
+		}
+		slices.SortFunc(list, func(a, b slotAt) int {
+			return cmp.Or(a.ready.Compare(b.ready), strings.Compare(a.r.host, b.r.host))
+		})
+		list = list[:need]
+		if end := list[need-1].ready; best == nil || end.Before(start) || (end.Equal(start) && list[0].r.zone < best[0].r.zone) {
+			best, start = list, end
 		}
 	}
-	if best < 0 {
-		return nil, start
+	for _, x := range best {
+		r := x.r
+		if r.reservedFor == "" {
+			r.reservedFor, r.shadow = ref, x.at
+			r.spareC, r.spareG, r.spareM = r.cpus, r.gpus, r.mem
+			held = append(held, r)
+		}
+		if x.at.After(r.shadow) {
+			r.shadow = x.at
+		}
+		r.spareC, r.spareG, r.spareM = r.spareC-s.CPUs, r.spareG-s.GPUs, r.spareM-s.MemGB
 	}
-	r := rooms[best]
-	r.reservedFor, r.shadow = ref, bestAt
-	c, g, m := r.cpus, r.gpus, r.mem
-	for _, e := range r.ends {
-		if !e.at.After(bestAt) {
-			c, g, m = c+e.spec.CPUs, g+e.spec.GPUs, m+e.spec.MemGB
+	for _, r := range held {
+		for _, e := range r.ends {
+			if !e.at.After(r.shadow) {
+				r.spareC, r.spareG, r.spareM = r.spareC+e.spec.CPUs, r.spareG+e.spec.GPUs, r.spareM+e.spec.MemGB
+			}
+		}
+	}
+	return held, start
+}
+
+// slotsOf adds the times at which a machine's running tasks will have left
+// room for one task, two, and so on, up to so many.
+func slotsOf(s *protocol.Submission, r *room, out []slotAt, most int, now time.Time) []slotAt {
+	c, g, m, at := r.cpus, r.gpus, r.mem, now
+	fetch := r.fetch(s)
+	for i, found := 0, 0; found < most; {
+		if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
+			out = append(out, slotAt{r, at, at.Add(fetch)})
+			c, g, m = c-s.CPUs, g-s.GPUs, m-s.MemGB
+			found++
+			continue
+		}
+		if i == len(r.ends) {
+			break
+		}
+		e := r.ends[i]
+		i++
+		c, g, m = c+e.spec.CPUs, g+e.spec.GPUs, m+e.spec.MemGB
+		if at = e.at; at.Before(now) {
+			at = now.Add(time.Second) // overdue
 		}
 	}
-	r.spareC, r.spareG, r.spareM = c-s.CPUs, g-s.GPUs, m-s.MemGB
-	return r, start
+	return out
 }
 
 // soonestFetch is the shortest fetch among the machines that may run a job.
@@ -246,23 +307,77 @@
 	return protocol.Seconds(s.ImageGB / r.total.PullGBps)
 }
 
-// shadowTime is when a machine's running tasks will have left enough room.
-func shadowTime(s *protocol.Submission, r *room, now time.Time) (time.Time, bool) {
-	c, g, m, at := r.cpus, r.gpus, r.mem, now
-	for i := 0; ; i++ {
-		if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
-			return at, true
+// eviction is a machine and what is to be stopped there for one more task; no
+// victims mean that there is room already.
+type eviction struct {
+	r       *room
+	victims []victim
+}
+
+// displaceFor plans the room for so many tasks that must start together, if all
+// of them can have it. The rooms are left as they were.
+func displaceFor(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, need int, may func(*protocol.Submission) bool, now time.Time) []eviction {
+	var best []eviction
+	bestCost := math.Inf(1)
+	for _, zone := range zonesIn(s, rooms) {
+		try := make([]*room, len(rooms))
+		copies := make([]room, len(rooms))
+		for i, r := range rooms {
+			copies[i] = *r
+			try[i] = &copies[i]
 		}
-		if i == len(r.ends) {
-			return time.Time{}, false
+		zr := zoneRule{use: maps.Clone(z.use), limit: z.limit, only: z.only}
+		if zone != "" && zr.only == "" {
+			zr.only = zone
 		}
-		e := r.ends[i]
-		c, g, m = c+e.spec.CPUs, g+e.spec.GPUs, m+e.spec.MemGB
-		at = e.at
-		if soon := now.Add(time.Second); at.Before(soon) {
-			at = soon // overdue
+		var plan []eviction
+		cost := 0.0
+		for len(plan) < need {
+			at := choose(s, ref, try, &zr, 0, now)
+			var victims []victim
+			if at < 0 || (!try[at].holds(s.Image) && s.ImageGB > 0) {
+				if i, v := displace(s, ref, try, &zr, may, now); len(v) > 0 && (at < 0 || try[i].holds(s.Image)) {
+					at, victims = i, v
+				}
+			}
+			if at < 0 {
+				break
+			}
+			r := try[at]
+			for _, v := range victims {
+				cost += v.lost(now)
+				r.give(v.c.spec)
+			}
+			r.victims = without(r.victims, victims)
+			r.take(s)
+			zr.add(s, r.zone)
+			plan = append(plan, eviction{rooms[at], victims})
+		}
+		if len(plan) == need && cost < bestCost {
+			best, bestCost = plan, cost
 		}
 	}
+	return best
+}
+
+// zonesIn lists the zones to try for a job that must stay in one; else "".
+func zonesIn(s *protocol.Submission, rooms []*room) []string {
+	if !s.SameZone {
+		return []string{""}
+	}
+	var zones []string
+	for _, r := range rooms {
+		if !slices.Contains(zones, r.zone) {
+			zones = append(zones, r.zone)
+		}
+	}
+	return zones
+}
+
+func without(list, out []victim) []victim {
+	return slices.DeleteFunc(slices.Clone(list), func(x victim) bool {
+		return slices.ContainsFunc(out, func(v victim) bool { return v.c == x.c && v.task == x.task })
+	})
 }
 
 // displace chooses the machine where making room for one task of higher
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -280,10 +280,18 @@
 		blocked = true
 		z := n.zonesOf(u)
 		n.detail(rooms, now)
-		held, start := reserve(u.spec, u.j.ref, rooms, &z, now)
+		need := 1
+		if u.together() {
+			need = u.waiting()
+		}
+		held, start := reserve(u.spec, u.j.ref, rooms, &z, need, now)
 		if held == nil || start.After(n.startBy(u, rooms, &z, now)) {
-			if n.makeRoom(s, u, rooms, now) && held != nil && held.shadow.After(now) {
-				held.reservedFor = "" // the displaced room serves instead
+			if n.makeRoom(s, u, rooms, now) {
+				for _, r := range held {
+					if r.shadow.After(now) {
+						r.reservedFor = "" // the displaced room serves instead
+					}
+				}
 			}
 		}
 	}
@@ -318,7 +326,7 @@
 // holds its image, when all the free room is on machines that would fetch it
 // for longer than the job's start may take.
 func (n *Node) displaceForImage(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if u.spec.Shape == protocol.Array || (u.spec.Shape == protocol.Gang && u.spec.Tasks > 1) {
+	if u.spec.Shape == protocol.Array || u.together() {
 		return false
 	}
 	z := n.zonesOf(u)
@@ -596,41 +604,55 @@
 // makeRoom displaces work of lower priority for a job that found no room. It
 // returns false when there is nothing, or nothing more, to displace.
 func (n *Node) makeRoom(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if (u.spec.Shape == protocol.Gang && u.spec.Tasks > 1) || now.Sub(u.j.displaced) < displaceGap {
+	if now.Sub(u.j.displaced) < displaceGap {
 		return false
 	}
 	z := n.zonesOf(u)
 	n.detail(rooms, now)
+	may := n.mayDisplace(u.spec, n.withinGuarantee(u.spec))
+	if u.together() {
+		plan := displaceFor(u.spec, u.j.ref, rooms, &z, u.waiting(), may, now)
+		for _, e := range plan {
+			n.carryOut(s, u, e, now)
+		}
+		return len(plan) > 0
+	}
 	found := false
 	for range min(u.waiting(), 16) {
-		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, n.withinGuarantee(u.spec)), now)
+		at, victims := displace(u.spec, u.j.ref, rooms, &z, may, now)
 		if len(victims) == 0 {
 			break
 		}
 		found = true
-		u.j.displaced = now
-		r := rooms[at]
-		for _, v := range victims {
-			n.evict(v.c, v.task, now)
-			r.give(v.c.spec)
-			n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
-		}
-		// The room is spoken for in this pass.
-		r.take(u.spec)
-		z.add(u.spec, r.zone)
-		r.reservedFor, r.shadow = u.j.ref, now
-		r.victims = slices.DeleteFunc(slices.Clone(r.victims), func(x victim) bool {
-			return slices.ContainsFunc(victims, func(v victim) bool { return v.c == x.c && v.task == x.task })
-		})
-		for _, v := range victims {
-			if j := n.jobs[v.c.ref]; j != nil && v.c.pend == nil && v.c.rec != nil {
-				n.settleClaim(s, j, v.c, now)
-			}
-		}
+		n.carryOut(s, u, eviction{rooms[at], victims}, now)
+		z.add(u.spec, rooms[at].zone)
 	}
 	return found
 }
 
+// together tells that all of a unit's tasks must start at the same time.
+func (u *unit) together() bool { return u.spec.Shape == protocol.Gang && u.spec.Tasks > 1 }
+
+// carryOut stops what an eviction names. The room is spoken for in this pass.
+func (n *Node) carryOut(s *shard, u *unit, e eviction, now time.Time) {
+	u.j.displaced = now
+	r := e.r
+	for _, v := range e.victims {
+		n.evict(v.c, v.task, now)
+		r.give(v.c.spec)
+		n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
+	}
+	r.take(u.spec)
+	r.reservedFor, r.shadow = u.j.ref, now
+	r.spareC, r.spareG, r.spareM = r.cpus, r.gpus, r.mem
+	r.victims = without(r.victims, e.victims)
+	for _, v := range e.victims {
+		if j := n.jobs[v.c.ref]; j != nil && v.c.pend == nil && v.c.rec != nil {
+			n.settleClaim(s, j, v.c, now)
+		}
+	}
+}
+
 // mayDisplace says whose work a job may displace: that of lower priority, and
 // for a job within its team's guarantee what another team borrows.
 func (n *Node) mayDisplace(spec *protocol.Submission, guaranteed bool) func(*protocol.Submission) bool {
