--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -79,6 +79,7 @@
 	groups     map[string]group
 	imageRecs  map[string]*ledger.Images
 	hungry     map[string]*job       // those of which a task may be without a machine
+	plans      map[string]*plan      // by job: the room for which it has displaced others
 	intents    []string              // claims under way that the other controllers were not told of
 	outbox     map[*machine]struct{} // machines with commands to be sent
 	returns    map[string]*machine   // their return is recorded and not carried out
@@ -143,7 +144,7 @@
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
-		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), hungry: make(map[string]*job), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
+		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
 	}
 	n.shard(n.cfg.Node)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -238,28 +238,31 @@
 			best, start = list, end
 		}
 	}
+	tasks := make(map[*room]int)
 	for _, x := range best {
-		r := x.r
-		if r.reservedFor == "" {
-			r.reservedFor, r.shadow = ref, x.at
-			r.spareC, r.spareG, r.spareM = r.cpus, r.gpus, r.mem
-			held = append(held, r)
+		if tasks[x.r]++; tasks[x.r] == 1 {
+			held = append(held, x.r)
 		}
-		if x.at.After(r.shadow) {
-			r.shadow = x.at
-		}
-		r.spareC, r.spareG, r.spareM = r.spareC-s.CPUs, r.spareG-s.GPUs, r.spareM-s.MemGB
 	}
-	for _, r := range held {
-		for _, e := range r.ends {
-			if !e.at.After(r.shadow) {
-				r.spareC, r.spareG, r.spareM = r.spareC+e.spec.CPUs, r.spareG+e.spec.GPUs, r.spareM+e.spec.MemGB
-			}
-		}
+	for _, x := range best {
+		x.r.hold(s, ref, tasks[x.r], x.at) // the machine's last slot decides
 	}
 	return held, start
 }
 
+// hold reserves room for so many tasks of a job from some time on. What is left
+// beside them then may be used till the end of days.
+func (r *room) hold(s *protocol.Submission, ref string, tasks int, from time.Time) {
+	r.reservedFor, r.shadow = ref, from
+	k := float64(tasks)
+	r.spareC, r.spareG, r.spareM = r.cpus-k*s.CPUs, r.gpus-k*s.GPUs, r.mem-k*s.MemGB
+	for _, e := range r.ends {
+		if !e.at.After(from) {
+			r.spareC, r.spareG, r.spareM = r.spareC+e.spec.CPUs, r.spareG+e.spec.GPUs, r.spareM+e.spec.MemGB
+		}
+	}
+}
+
 // slotsOf adds the times at which a machine's running tasks will have left
 // room for one task, two, and so on, up to so many.
 func slotsOf(s *protocol.Submission, r *room, out []slotAt, most int, now time.Time) []slotAt {
@@ -387,7 +390,7 @@
 	at := -1
 	bestCost := math.Inf(1)
 	for i, r := range rooms {
-		if !r.takes(s, z) || r.recentErrors[ref] {
+		if !r.takes(s, z) || r.recentErrors[ref] || (r.reservedFor != "" && r.reservedFor != ref) {
 			continue
 		}
 		if !canEver(s, r.total) || (s.GPUs == 0 && r.total.GPUs > 0 && r.gpus > 0) {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -249,6 +249,7 @@
 		return
 	}
 	rooms := n.rooms(s, now)
+	n.holdPlans(s, rooms, now)
 	blocked := false
 	failedSpecs := make(map[failKey]bool)
 	for _, u := range q {
@@ -262,11 +263,14 @@
 		if failedSpecs[key] || n.overLimit(u) {
 			continue
 		}
-		if n.displaceForImage(s, u, rooms, now) {
+		if n.plans[u.j.ref] == nil && n.displaceForImage(s, u, rooms, now) {
 			continue // it starts there as soon as the displaced tasks are gone
 		}
 		placed, short := n.placeUnit(s, u, rooms, now)
-		if !short || placed {
+		if placed {
+			delete(n.plans, u.j.ref)
+		}
+		if !short || placed || n.plans[u.j.ref] != nil {
 			continue
 		}
 		// Where its tasks are may keep a unit from room that others could use.
@@ -597,14 +601,48 @@
 	return false
 }
 
-// displaceGap is how long a job waits for the tasks it displaced to go before
-// it may displace more.
-const displaceGap = 2 * time.Second
+// plan is the room for which a job has displaced others. It is held for the job
+// until it starts there. Without this a gang's next pass could prefer other
+// machines, arrays took the room just made, and the gang displaced again: some
+// twelve thousand tasks of a day were lost in that circle.
+type plan struct {
+	shard string
+	hosts map[string]int // tasks by host
+	until time.Time
+}
+
+// planFor is how long a job waits for the tasks it displaced to go before it
+// may displace more.
+const planFor = 5 * time.Second
+
+// holdPlans sets the planned room of a shard's machines apart.
+func (n *Node) holdPlans(s *shard, rooms []*room, now time.Time) {
+	held := false
+	for ref, p := range n.plans {
+		j := n.jobs[ref]
+		if now.After(p.until) || j == nil || j.rec.Final() {
+			delete(n.plans, ref)
+			continue
+		}
+		held = held || p.shard == s.name
+	}
+	if !held {
+		return
+	}
+	n.detail(rooms, now)
+	for _, r := range rooms {
+		for ref, p := range n.plans {
+			if k := p.hosts[r.host]; k > 0 && r.reservedFor == "" {
+				r.hold(n.jobs[ref].rec.Spec, ref, k, now.Add(time.Second))
+			}
+		}
+	}
+}
 
 // makeRoom displaces work of lower priority for a job that found no room. It
 // returns false when there is nothing, or nothing more, to displace.
 func (n *Node) makeRoom(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if now.Sub(u.j.displaced) < displaceGap {
+	if n.plans[u.j.ref] != nil {
 		return false
 	}
 	z := n.zonesOf(u)
@@ -635,16 +673,20 @@
 
 // carryOut stops what an eviction names. The room is spoken for in this pass.
 func (n *Node) carryOut(s *shard, u *unit, e eviction, now time.Time) {
-	u.j.displaced = now
+	p := n.plans[u.j.ref]
+	if p == nil {
+		p = &plan{shard: s.name, hosts: make(map[string]int), until: now.Add(planFor)}
+		n.plans[u.j.ref] = p
+	}
 	r := e.r
+	p.hosts[r.host]++
 	for _, v := range e.victims {
 		n.evict(v.c, v.task, now)
 		r.give(v.c.spec)
 		n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
 	}
 	r.take(u.spec)
-	r.reservedFor, r.shadow = u.j.ref, now
-	r.spareC, r.spareG, r.spareM = r.cpus, r.gpus, r.mem
+	r.hold(u.spec, u.j.ref, 0, now)
 	r.victims = without(r.victims, e.victims)
 	for _, v := range e.victims {
 		if j := n.jobs[v.c.ref]; j != nil && v.c.pend == nil && v.c.rec != nil {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -15,18 +15,17 @@
 
 // job is an accepted job that is open, or final with claims left to clear.
 type job struct {
-	ref       string
-	rec       *ledger.Job
-	stamp     uint64
-	chunks    int
-	size      int // tasks in a chunk
-	claims    map[int]*claim
-	seen      time.Time         // when this node first saw it
-	ended     time.Time         // when this node saw it final
-	failed    map[string]bool   // hosts on which its tasks failed
-	pause     time.Time         // no start before this, after failures
-	lost      map[int]time.Time // chunks whose claim was lost to another shard just now
-	displaced time.Time         // when it last displaced others
+	ref    string
+	rec    *ledger.Job
+	stamp  uint64
+	chunks int
+	size   int // tasks in a chunk
+	claims map[int]*claim
+	seen   time.Time         // when this node first saw it
+	ended  time.Time         // when this node saw it final
+	failed map[string]bool   // hosts on which its tasks failed
+	pause  time.Time         // no start before this, after failures
+	lost   map[int]time.Time // chunks whose claim was lost to another shard just now
 }
 
 // claim is a claimed chunk; pend is the version being committed, if any.
