--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -759,32 +759,23 @@
 	return max(0, need-have)
 }
 
-// arrayTime is the time in which an array should be worked off: what is left,
-// once new machines are up, of the nearest objective that they can still meet,
-// with a margin. One that can meet none is given array_wait twice over: it is
-// late, but machines hired in a rush for it cost as much as those in time.
+// arrayTime is the time in which an array should be worked off: array_wait, or
+// what its deadline leaves once new machines are up, with a margin. Without a
+// deadline there is no waiting on purpose: machines hired late for the sake of
+// the last objective that could still be met made every array later in a day
+// with less capacity.
 func (n *Node) arrayTime(w want, est time.Duration, now time.Time) time.Duration {
+	if w.spec.Due() == 0 {
+		return max(n.pol.ArrayWait, est)
+	}
 	boot := time.Duration(0)
 	for _, t := range n.types {
 		if canEver(w.spec, t) && (boot == 0 || t.Boot() < boot) {
 			boot = t.Boot()
 		}
 	}
-	u := &unit{j: n.jobs[w.spec.Ref], spec: w.spec}
-	best := time.Duration(0)
-	for _, o := range n.cfg.Objectives {
-		start, ok := n.objectiveStart(o, u)
-		if !ok || o.Kind == "wait" || o.Kind == "guarantee" {
-			continue
-		}
-		if left := start.Sub(now) + est - boot; left >= est && (best == 0 || left < best) {
-			best = left
-		}
-	}
-	if best == 0 {
-		return max(2*n.pol.ArrayWait, est)
-	}
-	return max(best*7/10, n.pol.ArrayWait, est)
+	left := n.jobs[w.spec.Ref].seen.Add(w.spec.Due()).Sub(now) - boot
+	return max(left*7/10-est, n.pol.ArrayWait, est)
 }
 
 // fill puts a want into the supply and returns the machines to hire for what
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -80,6 +80,7 @@
 	imageRecs  map[string]*ledger.Images
 	hungry     map[string]*job       // those of which a task may be without a machine
 	plans      map[string]*plan      // by job: the room for which it has displaced others
+	planned    []string              // claims for which room is being made, likewise
 	intents    []string              // claims under way that the other controllers were not told of
 	outbox     map[*machine]struct{} // machines with commands to be sent
 	returns    map[string]*machine   // their return is recorded and not carried out
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -95,13 +95,8 @@
 		n.loads[l.Shard] = loadSeen{l, now}
 		n.queuedNow[l.Shard] = 0
 	}
-	for _, key := range msg.Intents {
-		// Advice: this node's own copy waits a little for the other's claim to
-		// be made, rather than spend budget on one that would fail.
-		if ref, chunk, err := ledger.SplitClaimKey(key); err == nil && n.jobs[ref] != nil && n.claims[key] == nil {
-			n.jobs[ref].lost[chunk] = now.Add(retryClaim)
-		}
-	}
+	n.leaveTo(msg.Intents, now.Add(2*retryClaim))
+	n.leaveTo(msg.Planned, now.Add(planFor))
 	if n.loaded {
 		for _, k := range msg.Fresh {
 			if len(k.Value) > 0 && (strings.HasPrefix(k.Key, ledger.JobKeys) || strings.HasPrefix(k.Key, ledger.ClaimKeys)) {
@@ -112,6 +107,17 @@
 	return json.RawMessage("{}"), nil
 }
 
+// leaveTo holds this node's own copies of work back for a while: another shard
+// is about to claim it, and a second claim would only spend budget and fail.
+// This is advice; the claim itself decides.
+func (n *Node) leaveTo(keys []string, until time.Time) {
+	for _, key := range keys {
+		if ref, chunk, err := ledger.SplitClaimKey(key); err == nil && n.jobs[ref] != nil && n.claims[key] == nil {
+			n.jobs[ref].lost[chunk] = until
+		}
+	}
+}
+
 // loadKeep is how long a shard's load, once worked out, serves its owner.
 const loadKeep = 200 * time.Millisecond
 
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -62,7 +62,7 @@
 			c := n.claimOf(j, i)
 			if c == nil {
 				fed = false
-				if queued && now.Sub(j.lost[i]) > retryClaim {
+				if queued && now.After(j.lost[i]) {
 					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
 				}
 				continue
@@ -642,7 +642,7 @@
 // makeRoom displaces work of lower priority for a job that found no room. It
 // returns false when there is nothing, or nothing more, to displace.
 func (n *Node) makeRoom(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if n.plans[u.j.ref] != nil {
+	if n.plans[u.j.ref] != nil || !n.displacesHere(s, u, now) {
 		return false
 	}
 	z := n.zonesOf(u)
@@ -668,6 +668,20 @@
 	return found
 }
 
+// displacesHere tells whether a shard may displace for a unit. For work that
+// no shard has claimed yet only one of its copies does so at a time: for a gang
+// of eight, five shards each stopped hundreds of tasks.
+func (n *Node) displacesHere(s *shard, u *unit, now time.Time) bool {
+	if u.c != nil {
+		return true
+	}
+	i := slices.Index(u.j.rec.At, s.name)
+	if i < 0 {
+		i = len(u.j.rec.At)
+	}
+	return now.Sub(u.j.seen) >= time.Duration(i)*planFor
+}
+
 // together tells that all of a unit's tasks must start at the same time.
 func (u *unit) together() bool { return u.spec.Shape == protocol.Gang && u.spec.Tasks > 1 }
 
@@ -677,6 +691,9 @@
 	if p == nil {
 		p = &plan{shard: s.name, hosts: make(map[string]int), until: now.Add(planFor)}
 		n.plans[u.j.ref] = p
+		if u.c == nil {
+			n.planned = append(n.planned, ledger.ClaimKey(u.j.ref, u.chunk))
+		}
 	}
 	r := e.r
 	p.hosts[r.host]++
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -65,9 +65,9 @@
 	if n.leading() {
 		n.gather(now)
 	}
-	if len(n.intents) > 0 {
-		n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Intents: n.intents})
-		n.intents = nil
+	if len(n.intents)+len(n.planned) > 0 {
+		n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Intents: n.intents, Planned: n.planned})
+		n.intents, n.planned = nil, nil
 	}
 	for ref, set := range n.orphans {
 		n.lookUp(ref, set, now)
@@ -223,6 +223,13 @@
 			s.raise = true
 			return unsettled
 		}
+		if t.Cause == protocol.CauseIncomplete && !stop {
+			// It had waited too long for the others, whose images may take longer
+			// still. They go on waiting for it: once reaped it starts again, in the
+			// same attempt and on the same machine. To end the attempt instead threw
+			// away what the others had fetched.
+			return unsettled
+		}
 		n.blame(j, m, t, now)
 		return gone
 	case t != nil && t.Try == p.Try:
@@ -547,7 +554,7 @@
 			n.unlinkClaim(c)
 		}
 		if j := n.jobs[c.ref]; j != nil {
-			j.lost[c.chunk] = time.Now()
+			j.lost[c.chunk] = time.Now().Add(retryClaim)
 		}
 		if !errors.Is(err, ledger.ErrConflict) {
 			n.log.Debug("claim not made", "claim", c.key, "err", err)
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -25,7 +25,7 @@
 	ended  time.Time         // when this node saw it final
 	failed map[string]bool   // hosts on which its tasks failed
 	pause  time.Time         // no start before this, after failures
-	lost   map[int]time.Time // chunks whose claim was lost to another shard just now
+	lost   map[int]time.Time // chunks left to another shard until then
 }
 
 // claim is a claimed chunk; pend is the version being committed, if any.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -356,6 +356,8 @@
 		if p != nil && p.Try == t.Try {
 			if grace, stop := n.wantStop(c, p, now); stop && t.Phase != protocol.TaskExited && (t.Phase != protocol.TaskSaving || grace == 0) {
 				out = append(out, protocol.Stop(t.Task, t.Try, grace))
+			} else if !stop && t.Phase == protocol.TaskExited && t.Cause == protocol.CauseIncomplete && !m.outstanding(t.Task, t.Try) {
+				out = append(out, protocol.Reap(t.Task, t.Try)) // to start again
 			}
 			continue
 		}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -194,17 +194,19 @@
 
 // States of a task on a worker, and why it exited.
 const (
-	TaskFetching  = "fetching"
-	TaskWaiting   = "gathering"
-	TaskRunning   = "running"
-	TaskSaving    = "flushing"
-	TaskExited    = "exited"
-	CauseDone     = "done"
-	CauseError    = "error"
-	CauseNoRoom   = "no_room"
-	CauseNoSuch   = "no_such"
-	CauseBusy     = "busy"
-	MachineFailed = "failed"
+	TaskFetching = "fetching"
+	TaskWaiting  = "gathering"
+	TaskRunning  = "running"
+	TaskSaving   = "flushing"
+	TaskExited   = "exited"
+	CauseDone    = "done"
+	CauseError   = "error"
+	// CauseIncomplete: a gang's task waited too long for the others.
+	CauseIncomplete = "incomplete"
+	CauseNoRoom     = "no_room"
+	CauseNoSuch     = "no_such"
+	CauseBusy       = "busy"
+	MachineFailed   = "failed"
 )
 
 // TaskReport is a task as its worker reports it.
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -11,6 +11,8 @@
 	// Intents are claims that the sender is about to make: its copies of the
 	// same work need not try as well.
 	Intents []string `json:"intents,omitempty"`
+	// Planned are claims for which the sender is displacing other work.
+	Planned []string `json:"planned,omitempty"`
 	// StateOK tells that the sender heard from the state service just now.
 	StateOK bool `json:"stateOk"`
 }
