--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -380,6 +380,7 @@
 			continue
 		}
 		n.evict(c, p.task, now)
+		n.flush(n.shards[m.rec.Shard])
 	}
 }
 
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -226,11 +226,31 @@
 	for id, p := range c.on {
 		if id.task == task {
 			p.at.touch()
+			n.stopEvicted(c, p, now)
 		}
 	}
 	n.mark(c)
 }
 
+// stopEvicted sends the stop at once: settling waits while a version of the
+// claim is being committed, and under load that took longer than the room made
+// could be held.
+func (n *Node) stopEvicted(c *claim, p *place, now time.Time) {
+	m := p.at.m
+	if m == nil || !n.active(n.shards[m.rec.Shard]) {
+		return
+	}
+	s := n.shards[m.rec.Shard]
+	t := m.tasks[p.name]
+	if t == nil || t.Try != p.try || t.Phase == protocol.TaskExited || !m.settled(s) {
+		return
+	}
+	if grace, stop := n.wantStop(c, &ledger.Placement{Task: p.task, Try: p.try, Host: m.host}, now); stop {
+		m.stopped[p.name] = now
+		n.order(s, m, protocol.Stop(p.name, p.try, grace))
+	}
+}
+
 // beyondGuarantee tells whether a team borrows the kind of resource that a job
 // of its own uses.
 func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
@@ -518,7 +538,7 @@
 func (n *Node) commitUnit(s *shard, u *unit, next *ledger.Claim) bool {
 	if u.c != nil {
 		c := u.c
-		return n.update(s, c, next, ledger.PrioClaim, func(err error) {
+		return n.update(s, c, next, claimPrio(u.spec), func(err error) {
 			if j := n.jobs[c.ref]; err == nil && j != nil && n.active(s) && c.rec != nil {
 				n.settleClaim(s, j, c, time.Now())
 			}
@@ -531,10 +551,17 @@
 	}
 	conds = append(conds, ledger.Cond{Key: ledger.JobKeys + u.j.ref, Stamp: u.j.stamp})
 	ops = append(ops, ledger.Op{Key: c.key, Value: next})
-	n.commit(ledger.PrioClaim, conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })
+	n.commit(claimPrio(u.spec), conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })
 	return true
 }
 
+func claimPrio(s *protocol.Submission) int {
+	if s.Shape == protocol.Array {
+		return ledger.PrioArray
+	}
+	return ledger.PrioClaim
+}
+
 // prepareClaim enters a new claim into the cache while its commit is under
 // way, so that its room is taken, and gives the conditions on which it depends.
 func (n *Node) prepareClaim(s *shard, c *claim, next *ledger.Claim) ([]ledger.Cond, []ledger.Op, bool) {
@@ -702,6 +729,7 @@
 		r.give(v.c.spec)
 		n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
 	}
+	n.flush(s)
 	r.take(u.spec)
 	r.hold(u.spec, u.j.ref, 0, now)
 	r.victims = without(r.victims, e.victims)
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -446,7 +446,7 @@
 		return false
 	}
 	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: c.stamp})
-	if j := n.jobs[c.ref]; j != nil && len(next.Open) > 0 && prio == ledger.PrioClaim {
+	if j := n.jobs[c.ref]; j != nil && len(next.Open) > 0 && prio < ledger.PrioDone {
 		conds = append(conds, ledger.Cond{Key: ledger.JobKeys + c.ref, Stamp: j.stamp})
 	}
 	ops = append(ops, ledger.Op{Key: c.key, Value: next})
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -31,6 +31,7 @@
 	PrioLease = iota
 	PrioUser
 	PrioClaim
+	PrioArray // claims of arrays, which may wait a little where others may not
 	PrioDone
 	PrioRest
 	prios // how many there are
@@ -54,10 +55,10 @@
 		waiting[t.Prio]++
 	}
 	of := func(k int) slog.Attr {
-		return slog.Group([]string{"lease", "user", "claim", "done", "rest"}[k], "changes", c.spent[k].changes, "failed", c.spent[k].failed, "waiting", waiting[k])
+		return slog.Group([]string{"lease", "user", "claim", "array", "done", "rest"}[k], "changes", c.spent[k].changes, "failed", c.spent[k].failed, "waiting", waiting[k])
 	}
 	if !c.told.IsZero() {
-		c.log.Info("state service budget", "seconds", int(now.Sub(c.told).Seconds()), of(PrioLease), of(PrioUser), of(PrioClaim), of(PrioDone), of(PrioRest),
+		c.log.Info("state service budget", "seconds", int(now.Sub(c.told).Seconds()), of(PrioLease), of(PrioUser), of(PrioClaim), of(PrioArray), of(PrioDone), of(PrioRest),
 			"inflight", c.inflight)
 	}
 	c.told, c.spent = now, [prios]spent{}
