--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -747,10 +747,10 @@
 		return 0
 	}
 	have := 0.0
+	// What urgent work leaves free, machines with cards included: left out, they
+	// were hired anew in every round until the first of them was up.
 	for _, r := range supply {
-		if r.total.GPUs == 0 {
-			have += max(0, r.cpus)
-		}
+		have += max(0, r.cpus)
 	}
 	for _, c := range n.claims {
 		if c.rec != nil && c.spec != nil && c.spec.Shape == protocol.Array {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -16,7 +16,8 @@
 	host, typ, zone string
 	shard           string
 	spot            bool
-	usable          bool // settled trouble aside: new tasks may go there
+	usable          bool      // settled trouble aside: new tasks may go there
+	boots           time.Time // when it should be up, if it is not yet
 	cpus, gpus, mem float64
 	total           *protocol.MachineType
 	m               *machine // nil: not there yet
@@ -216,14 +217,24 @@
 func reserve(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, need int, now time.Time) (held []*room, start time.Time) {
 	slots := make(map[string][]slotAt)
 	for _, r := range rooms {
-		if !r.takes(s, z) || r.reservedFor != "" || !canEver(s, r.total) {
+		comes := now
+		if !r.usable && !r.boots.IsZero() {
+			// Machines that are still booting count: without them the first ones
+			// up went to arrays while a gang waited for the last.
+			if comes = r.boots; comes.Before(now) {
+				comes = now.Add(time.Second)
+			}
+		} else if !r.usable {
+			continue
+		}
+		if !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.reservedFor != "" || !canEver(s, r.total) {
 			continue
 		}
 		zone := ""
 		if s.SameZone {
 			zone = r.zone
 		}
-		slots[zone] = slotsOf(s, r, slots[zone], need, now)
+		slots[zone] = slotsOf(s, r, slots[zone], need, comes)
 	}
 	var best []slotAt
 	for _, list := range slots {
@@ -245,7 +256,12 @@
 		}
 	}
 	for _, x := range best {
-		x.r.hold(s, ref, tasks[x.r], x.at) // the machine's last slot decides
+		// The machine's last slot decides, or when the others are ready.
+		from := x.at
+		if last := start.Add(-x.r.fetch(s)); last.After(from) {
+			from = last
+		}
+		x.r.hold(s, ref, tasks[x.r], from)
 	}
 	return held, start
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -125,6 +125,9 @@
 		// What is of unknown size is being ended by housekeeping.
 		r.usable = m.rep != nil && !m.sick && !m.unclear && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
 			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
+		if m.rep == nil && !m.returning {
+			r.boots = time.UnixMilli(m.rec.Born).Add(t.Boot())
+		}
 		for ref, at := range m.errorJobs {
 			if now.Sub(at) < 30*time.Second {
 				if r.recentErrors == nil {
