--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -730,7 +730,7 @@
 	for _, v := range e.victims {
 		n.evict(v.c, v.task, now)
 		r.give(v.c.spec)
-		n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
+		n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "host", r.host, "for", u.j.ref)
 	}
 	n.flush(s)
 	r.take(u.spec)
