--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -25,6 +25,7 @@
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Extend(ctx context.Context, permit uint64) error
 	Submit(t *ledger.Txn)
+	Waiting(prio int) int
 	Share(live int)
 	Saw(key string, stamp uint64, exists bool)
 	LastOK() time.Time
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -207,6 +207,9 @@
 	if c.spec.Shape == protocol.Gang && c.spec.Tasks > 1 {
 		return // stopping one task of a gang would end them all
 	}
+	if m.tasks[p.name] == nil {
+		return // not there yet: it cannot be stopped
+	}
 	m.victims = append(m.victims, victim{c: c, task: p.task, began: began})
 }
 
@@ -273,6 +276,11 @@
 	}
 	rooms := n.rooms(s, now)
 	n.holdPlans(s, rooms, now)
+	// While placements of arrays wait for the state service's budget, freed room
+	// gathers, so that the next write places many tasks. One write for every
+	// task or two kept machines idle for seconds, and what was placed but not
+	// yet committed could neither run nor be displaced.
+	saving := n.led.Waiting(ledger.PrioArray) > 0
 	blocked := false
 	failedSpecs := make(map[failKey]bool)
 	for _, u := range q {
@@ -283,7 +291,7 @@
 		if len(u.spec.Types) > 0 {
 			key.types = strings.Join(u.spec.Types, " ")
 		}
-		if failedSpecs[key] || n.overLimit(u) {
+		if failedSpecs[key] || n.overLimit(u) || (saving && u.spec.Shape == protocol.Array) {
 			continue
 		}
 		if n.plans[u.j.ref] == nil && n.displaceForImage(s, u, rooms, now) {
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -251,6 +251,19 @@
 	return max(PrioClaim, t.Prio-int(now.Sub(t.since)/patience))
 }
 
+// Waiting counts the transactions of a priority that wait for the budget.
+func (c *Client) Waiting(prio int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := 0
+	for _, t := range c.pending {
+		if t.Prio == prio {
+			k++
+		}
+	}
+	return k
+}
+
 // Saw tells of a version of a key seen elsewhere. Transactions that wait and
 // depend on an older one have failed already; sending them would only spend
 // the budget, which failing changes take from as much as others.
