--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -380,6 +380,7 @@
 			continue
 		}
 		n.evict(c, p.task, now)
+		n.flush(n.shards[m.rec.Shard])
 	}
 }
 
@@ -464,7 +465,7 @@
 	for _, w := range wants {
 		need = append(need, n.fill(&supply, w, now, math.Inf(1))...)
 	}
-	budget := n.arrayBudget(arrays, supply)
+	budget := n.arrayBudget(arrays, supply, now)
 	for _, w := range arrays {
 		got := n.fill(&supply, w, now, budget)
 		for _, o := range got {
@@ -699,6 +700,9 @@
 			if w.count <= 0 || now.Before(j.pause) {
 				continue
 			}
+			if u.together() && w.shard == "" && len(j.rec.At) > 0 {
+				w.shard = j.rec.At[0] // a gang needs its machines side by side
+			}
 			free -= w.count
 			if spec.Shape == protocol.Array {
 				arrays = append(arrays, w)
@@ -732,27 +736,47 @@
 }
 
 // arrayBudget is how many more CPUs the waiting arrays deserve: enough to work
-// off their queue in the time that they may wait.
-func (n *Node) arrayBudget(arrays []want, supply []*room) float64 {
-	work := 0.0
+// off each in the time that its objectives leave it.
+func (n *Node) arrayBudget(arrays []want, supply []*room, now time.Time) float64 {
+	need := 0.0
 	for _, w := range arrays {
-		work += float64(w.count) * w.spec.CPUs * max(n.estimate(w.spec).Seconds(), 1)
+		est := max(n.estimate(w.spec), time.Second)
+		need += float64(w.count) * w.spec.CPUs * est.Seconds() / n.arrayTime(w, est, now).Seconds()
 	}
-	if work == 0 {
+	if need == 0 {
 		return 0
 	}
 	have := 0.0
+	// What urgent work leaves free, machines with cards included: left out, they
+	// were hired anew in every round until the first of them was up.
 	for _, r := range supply {
-		if r.total.GPUs == 0 {
-			have += max(0, r.cpus)
-		}
+		have += max(0, r.cpus)
 	}
 	for _, c := range n.claims {
 		if c.rec != nil && c.spec != nil && c.spec.Shape == protocol.Array {
 			have += float64(len(c.rec.Open)) * c.spec.CPUs
 		}
 	}
-	return max(0, work/n.pol.ArrayWait.Seconds()-have)
+	return max(0, need-have)
+}
+
+// arrayTime is the time in which an array should be worked off: array_wait, or
+// what its deadline leaves once new machines are up, with a margin. Without a
+// deadline there is no waiting on purpose: machines hired late for the sake of
+// the last objective that could still be met made every array later in a day
+// with less capacity.
+func (n *Node) arrayTime(w want, est time.Duration, now time.Time) time.Duration {
+	if w.spec.Due() == 0 {
+		return max(n.pol.ArrayWait, est)
+	}
+	boot := time.Duration(0)
+	for _, t := range n.types {
+		if canEver(w.spec, t) && (boot == 0 || t.Boot() < boot) {
+			boot = t.Boot()
+		}
+	}
+	left := n.jobs[w.spec.Ref].seen.Add(w.spec.Due()).Sub(now) - boot
+	return max(left*7/10-est, n.pol.ArrayWait, est)
 }
 
 // fill puts a want into the supply and returns the machines to hire for what
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -62,7 +62,7 @@
 			c := n.claimOf(j, i)
 			if c == nil {
 				fed = false
-				if queued && now.Sub(j.lost[i]) > retryClaim {
+				if queued && now.After(j.lost[i]) {
 					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
 				}
 				continue
@@ -125,6 +125,9 @@
 		// What is of unknown size is being ended by housekeeping.
 		r.usable = m.rep != nil && !m.sick && !m.unclear && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
 			n.silence(m, now) < n.pol.Suspect && now.After(m.denied) && len(m.unsure) == 0
+		if m.rep == nil && !m.returning {
+			r.boots = time.UnixMilli(m.rec.Born).Add(t.Boot())
+		}
 		for ref, at := range m.errorJobs {
 			if now.Sub(at) < 30*time.Second {
 				if r.recentErrors == nil {
@@ -204,6 +207,9 @@
 	if c.spec.Shape == protocol.Gang && c.spec.Tasks > 1 {
 		return // stopping one task of a gang would end them all
 	}
+	if m.tasks[p.name] == nil {
+		return // not there yet: it cannot be stopped
+	}
 	m.victims = append(m.victims, victim{c: c, task: p.task, began: began})
 }
 
@@ -226,11 +232,31 @@
 	for id, p := range c.on {
 		if id.task == task {
 			p.at.touch()
+			n.stopEvicted(c, p, now)
 		}
 	}
 	n.mark(c)
 }
 
+// stopEvicted sends the stop at once: settling waits while a version of the
+// claim is being committed, and under load that took longer than the room made
+// could be held.
+func (n *Node) stopEvicted(c *claim, p *place, now time.Time) {
+	m := p.at.m
+	if m == nil || !n.active(n.shards[m.rec.Shard]) {
+		return
+	}
+	s := n.shards[m.rec.Shard]
+	t := m.tasks[p.name]
+	if t == nil || t.Try != p.try || t.Phase == protocol.TaskExited || !m.settled(s) {
+		return
+	}
+	if grace, stop := n.wantStop(c, &ledger.Placement{Task: p.task, Try: p.try, Host: m.host}, now); stop {
+		m.stopped[p.name] = now
+		n.order(s, m, protocol.Stop(p.name, p.try, grace))
+	}
+}
+
 // beyondGuarantee tells whether a team borrows the kind of resource that a job
 // of its own uses.
 func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
@@ -249,6 +275,12 @@
 		return
 	}
 	rooms := n.rooms(s, now)
+	n.holdPlans(s, rooms, now)
+	// While placements of arrays wait for the state service's budget, freed room
+	// gathers, so that the next write places many tasks. One write for every
+	// task or two kept machines idle for seconds, and what was placed but not
+	// yet committed could neither run nor be displaced.
+	saving := n.led.Waiting(ledger.PrioArray) > 0
 	blocked := false
 	failedSpecs := make(map[failKey]bool)
 	for _, u := range q {
@@ -259,14 +291,17 @@
 		if len(u.spec.Types) > 0 {
 			key.types = strings.Join(u.spec.Types, " ")
 		}
-		if failedSpecs[key] || n.overLimit(u) {
+		if failedSpecs[key] || n.overLimit(u) || (saving && u.spec.Shape == protocol.Array) {
 			continue
 		}
-		if n.displaceForImage(s, u, rooms, now) {
+		if n.plans[u.j.ref] == nil && n.displaceForImage(s, u, rooms, now) {
 			continue // it starts there as soon as the displaced tasks are gone
 		}
 		placed, short := n.placeUnit(s, u, rooms, now)
-		if !short || placed {
+		if placed {
+			delete(n.plans, u.j.ref)
+		}
+		if !short || placed || n.plans[u.j.ref] != nil {
 			continue
 		}
 		// Where its tasks are may keep a unit from room that others could use.
@@ -280,10 +315,18 @@
 		blocked = true
 		z := n.zonesOf(u)
 		n.detail(rooms, now)
-		held, start := reserve(u.spec, u.j.ref, rooms, &z, now)
+		need := 1
+		if u.together() {
+			need = u.waiting()
+		}
+		held, start := reserve(u.spec, u.j.ref, rooms, &z, need, now)
 		if held == nil || start.After(n.startBy(u, rooms, &z, now)) {
-			if n.makeRoom(s, u, rooms, now) && held != nil && held.shadow.After(now) {
-				held.reservedFor = "" // the displaced room serves instead
+			if n.makeRoom(s, u, rooms, now) {
+				for _, r := range held {
+					if r.shadow.After(now) {
+						r.reservedFor = "" // the displaced room serves instead
+					}
+				}
 			}
 		}
 	}
@@ -318,7 +361,7 @@
 // holds its image, when all the free room is on machines that would fetch it
 // for longer than the job's start may take.
 func (n *Node) displaceForImage(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if u.spec.Shape == protocol.Array || (u.spec.Shape == protocol.Gang && u.spec.Tasks > 1) {
+	if u.spec.Shape == protocol.Array || u.together() {
 		return false
 	}
 	z := n.zonesOf(u)
@@ -506,7 +549,7 @@
 func (n *Node) commitUnit(s *shard, u *unit, next *ledger.Claim) bool {
 	if u.c != nil {
 		c := u.c
-		return n.update(s, c, next, ledger.PrioClaim, func(err error) {
+		return n.update(s, c, next, claimPrio(u.spec), func(err error) {
 			if j := n.jobs[c.ref]; err == nil && j != nil && n.active(s) && c.rec != nil {
 				n.settleClaim(s, j, c, time.Now())
 			}
@@ -519,10 +562,17 @@
 	}
 	conds = append(conds, ledger.Cond{Key: ledger.JobKeys + u.j.ref, Stamp: u.j.stamp})
 	ops = append(ops, ledger.Op{Key: c.key, Value: next})
-	n.commit(ledger.PrioClaim, conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })
+	n.commit(claimPrio(u.spec), conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })
 	return true
 }
 
+func claimPrio(s *protocol.Submission) int {
+	if s.Shape == protocol.Array {
+		return ledger.PrioArray
+	}
+	return ledger.PrioClaim
+}
+
 // prepareClaim enters a new claim into the cache while its commit is under
 // way, so that its room is taken, and gives the conditions on which it depends.
 func (n *Node) prepareClaim(s *shard, c *claim, next *ledger.Claim) ([]ledger.Cond, []ledger.Op, bool) {
@@ -589,48 +639,118 @@
 	return false
 }
 
-// displaceGap is how long a job waits for the tasks it displaced to go before
-// it may displace more.
-const displaceGap = 2 * time.Second
+// plan is the room for which a job has displaced others. It is held for the job
+// until it starts there. Without this a gang's next pass could prefer other
+// machines, arrays took the room just made, and the gang displaced again: some
+// twelve thousand tasks of a day were lost in that circle.
+type plan struct {
+	shard string
+	hosts map[string]int // tasks by host
+	until time.Time
+}
+
+// planFor is how long a job waits for the tasks it displaced to go before it
+// may displace more.
+const planFor = 5 * time.Second
+
+// holdPlans sets the planned room of a shard's machines apart.
+func (n *Node) holdPlans(s *shard, rooms []*room, now time.Time) {
+	held := false
+	for ref, p := range n.plans {
+		j := n.jobs[ref]
+		if now.After(p.until) || j == nil || j.rec.Final() {
+			delete(n.plans, ref)
+			continue
+		}
+		held = held || p.shard == s.name
+	}
+	if !held {
+		return
+	}
+	n.detail(rooms, now)
+	for _, r := range rooms {
+		for ref, p := range n.plans {
+			if k := p.hosts[r.host]; k > 0 && r.reservedFor == "" {
+				r.hold(n.jobs[ref].rec.Spec, ref, k, now.Add(time.Second))
+			}
+		}
+	}
+}
 
 // makeRoom displaces work of lower priority for a job that found no room. It
 // returns false when there is nothing, or nothing more, to displace.
 func (n *Node) makeRoom(s *shard, u *unit, rooms []*room, now time.Time) bool {
-	if (u.spec.Shape == protocol.Gang && u.spec.Tasks > 1) || now.Sub(u.j.displaced) < displaceGap {
+	if n.plans[u.j.ref] != nil || !n.displacesHere(s, u, now) {
 		return false
 	}
 	z := n.zonesOf(u)
 	n.detail(rooms, now)
+	may := n.mayDisplace(u.spec, n.withinGuarantee(u.spec))
+	if u.together() {
+		plan := displaceFor(u.spec, u.j.ref, rooms, &z, u.waiting(), may, now)
+		for _, e := range plan {
+			n.carryOut(s, u, e, now)
+		}
+		return len(plan) > 0
+	}
 	found := false
 	for range min(u.waiting(), 16) {
-		at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, n.withinGuarantee(u.spec)), now)
+		at, victims := displace(u.spec, u.j.ref, rooms, &z, may, now)
 		if len(victims) == 0 {
 			break
 		}
 		found = true
-		u.j.displaced = now
-		r := rooms[at]
-		for _, v := range victims {
-			n.evict(v.c, v.task, now)
-			r.give(v.c.spec)
-			n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "for", u.j.ref)
-		}
-		// The room is spoken for in this pass.
-		r.take(u.spec)
-		z.add(u.spec, r.zone)
-		r.reservedFor, r.shadow = u.j.ref, now
-		r.victims = slices.DeleteFunc(slices.Clone(r.victims), func(x victim) bool {
-			return slices.ContainsFunc(victims, func(v victim) bool { return v.c == x.c && v.task == x.task })
-		})
-		for _, v := range victims {
-			if j := n.jobs[v.c.ref]; j != nil && v.c.pend == nil && v.c.rec != nil {
-				n.settleClaim(s, j, v.c, now)
-			}
-		}
+		n.carryOut(s, u, eviction{rooms[at], victims}, now)
+		z.add(u.spec, rooms[at].zone)
 	}
 	return found
 }
 
+// displacesHere tells whether a shard may displace for a unit. For work that
+// no shard has claimed yet only one of its copies does so at a time: for a gang
+// of eight, five shards each stopped hundreds of tasks.
+func (n *Node) displacesHere(s *shard, u *unit, now time.Time) bool {
+	if u.c != nil {
+		return true
+	}
+	i := slices.Index(u.j.rec.At, s.name)
+	if i < 0 {
+		i = len(u.j.rec.At)
+	}
+	return now.Sub(u.j.seen) >= time.Duration(i)*planFor
+}
+
+// together tells that all of a unit's tasks must start at the same time.
+func (u *unit) together() bool { return u.spec.Shape == protocol.Gang && u.spec.Tasks > 1 }
+
+// carryOut stops what an eviction names. The room is spoken for in this pass.
+func (n *Node) carryOut(s *shard, u *unit, e eviction, now time.Time) {
+	p := n.plans[u.j.ref]
+	if p == nil {
+		p = &plan{shard: s.name, hosts: make(map[string]int), until: now.Add(planFor)}
+		n.plans[u.j.ref] = p
+		if u.c == nil {
+			n.planned = append(n.planned, ledger.ClaimKey(u.j.ref, u.chunk))
+		}
+	}
+	r := e.r
+	p.hosts[r.host]++
+	for _, v := range e.victims {
+		n.evict(v.c, v.task, now)
+		r.give(v.c.spec)
+		n.log.Debug("displacing", "claim", v.c.key, "task", v.task, "host", r.host, "for", u.j.ref)
+	}
+	n.flush(s)
+	r.take(u.spec)
+	r.hold(u.spec, u.j.ref, 0, now)
+	r.victims = without(r.victims, e.victims)
+	for _, v := range e.victims {
+		if j := n.jobs[v.c.ref]; j != nil && v.c.pend == nil && v.c.rec != nil {
+			n.settleClaim(s, j, v.c, now)
+		}
+	}
+}
+
 // mayDisplace says whose work a job may displace: that of lower priority, and
 // for a job within its team's guarantee what another team borrows.
 func (n *Node) mayDisplace(spec *protocol.Submission, guaranteed bool) func(*protocol.Submission) bool {
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -31,6 +31,7 @@
 	PrioLease = iota
 	PrioUser
 	PrioClaim
+	PrioArray // claims of arrays, which may wait a little where others may not
 	PrioDone
 	PrioRest
 	prios // how many there are
@@ -54,10 +55,10 @@
 		waiting[t.Prio]++
 	}
 	of := func(k int) slog.Attr {
-		return slog.Group([]string{"lease", "user", "claim", "done", "rest"}[k], "changes", c.spent[k].changes, "failed", c.spent[k].failed, "waiting", waiting[k])
+		return slog.Group([]string{"lease", "user", "claim", "array", "done", "rest"}[k], "changes", c.spent[k].changes, "failed", c.spent[k].failed, "waiting", waiting[k])
 	}
 	if !c.told.IsZero() {
-		c.log.Info("state service budget", "seconds", int(now.Sub(c.told).Seconds()), of(PrioLease), of(PrioUser), of(PrioClaim), of(PrioDone), of(PrioRest),
+		c.log.Info("state service budget", "seconds", int(now.Sub(c.told).Seconds()), of(PrioLease), of(PrioUser), of(PrioClaim), of(PrioArray), of(PrioDone), of(PrioRest),
 			"inflight", c.inflight)
 	}
 	c.told, c.spent = now, [prios]spent{}
@@ -250,6 +251,19 @@
 	return max(PrioClaim, t.Prio-int(now.Sub(t.since)/patience))
 }
 
+// Waiting counts the transactions of a priority that wait for the budget.
+func (c *Client) Waiting(prio int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := 0
+	for _, t := range c.pending {
+		if t.Prio == prio {
+			k++
+		}
+	}
+	return k
+}
+
 // Saw tells of a version of a key seen elsewhere. Transactions that wait and
 // depend on an older one have failed already; sending them would only spend
 // the budget, which failing changes take from as much as others.
