--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -747,10 +747,12 @@
 		return 0
 	}
 	have := 0.0
-	// What urgent work leaves free, machines with cards included: left out, they
-	// were hired anew in every round until the first of them was up.
+	// Machines with cards do not count: work that needs the cards would find
+	// them full of arrays.
 	for _, r := range supply {
-		have += max(0, r.cpus)
+		if r.total.GPUs == 0 {
+			have += max(0, r.cpus)
+		}
 	}
 	for _, c := range n.claims {
 		if c.rec != nil && c.spec != nil && c.spec.Shape == protocol.Array {
