--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -220,7 +220,7 @@
 			return unsettled
 		}
 		if m.outstanding(name, p.Try) {
-			s.raise = true
+			s.wantRaise(m)
 			return unsettled
 		}
 		if t.Cause == protocol.CauseIncomplete && !stop {
@@ -249,7 +249,7 @@
 		return unsettled
 	case stop:
 		if m.outstanding(name, p.Try) {
-			s.raise = true
+			s.wantRaise(m)
 			n.enforceCancel(s, j, m, now)
 			return unsettled
 		}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -329,15 +329,14 @@
 
 // chunkSize is how many tasks of a job are claimed together. Gangs, services
 // and jobs whose tasks depend on one another's zones are claimed whole, so
-// that one record decides where their tasks may go. An array makes no more
-// chunks than it has copies: each costs its own writes.
-func chunkSize(s *protocol.Submission, usual, copies int) int {
+// that one record decides where their tasks may go. Other arrays make as few
+// chunks as values allow whose tasks all run at once: each costs its own writes.
+func (n *Node) chunkSize(s *protocol.Submission) int {
 	const maxChunks = 24 // finishing a job compares them all
 	if s.Shape != protocol.Array || s.SameZone || s.Spread {
 		return s.Tasks
 	}
-	parts := min(copies, maxChunks)
-	size := max(usual, (s.Tasks+parts-1)/parts)
+	size := max(n.pol.ChunkTasks, n.cfg.StateLimit.MaxOpen(), (s.Tasks+maxChunks-1)/maxChunks)
 	return min(size, s.Tasks)
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -67,6 +67,17 @@
 	try     uint64
 	token   uint64
 	session uint64
+	at      time.Time
+}
+
+// wantRaise asks for a new token to settle a machine's commands of unknown
+// fate. One that has given no sign of life since could not show it, and each
+// token is shown to every machine of the shard: with sixty machines hanging,
+// several hundred calls went out every few seconds for nothing.
+func (s *shard) wantRaise(m *machine) {
+	if slices.ContainsFunc(m.unsure, func(u sentStart) bool { return m.heard.After(u.at) }) {
+		s.raise = true
+	}
 }
 
 func (m *machine) address() string {
@@ -262,7 +273,7 @@
 		n.log.Debug("commands of unknown fate", "host", m.host, "status", status, "err", err)
 		for _, c := range body.Commands {
 			if c.Verb == "start" {
-				m.unsure = append(m.unsure, sentStart{c.Task, c.Try, body.Token, body.Session})
+				m.unsure = append(m.unsure, sentStart{c.Task, c.Try, body.Token, body.Session, time.Now()})
 			}
 		}
 	case err == nil && r.Host == m.host:
@@ -366,7 +377,7 @@
 			continue
 		}
 		if m.outstanding(t.Task, t.Try) {
-			s.raise = true
+			s.wantRaise(m)
 			continue
 		}
 		out = append(out, protocol.Reap(t.Task, t.Try))
@@ -552,9 +563,7 @@
 	if quiet > n.pol.Probe && !m.probing {
 		n.probe(m)
 	}
-	if len(m.unsure) > 0 && quiet < n.pol.Suspect {
-		s.raise = true // it lives, so a new token settles what may still act there
-	}
+	s.wantRaise(m)
 	fence := n.pol.Fence
 	if quiet > n.pol.FenceUp && m.runsReplicas() {
 		fence = n.pol.FenceUp
