--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -144,6 +144,7 @@
 		l.Queued += u.spec.CPUs * float64(u.waiting())
 	}
 	s.load = loadSeen{l, now}
+	n.loads[s.name] = s.load
 	n.queuedNow[s.name] = 0
 	return l
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -594,7 +594,7 @@
 // node owns one of its shards and that has room for all that must start
 // together.
 func (n *Node) claimAtOnce(spec *protocol.Submission, at []string, now time.Time) (*claim, *shard, []ledger.Cond) {
-	size := n.chunkSize(spec)
+	size := n.chunkSize(spec, at)
 	if size < spec.Tasks || n.limited(spec) {
 		return nil, nil, nil
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -213,7 +213,7 @@
 func (n *Node) accept(spec *protocol.Submission, reply func(transport.Response)) {
 	now := time.Now()
 	at := n.chooseShards(spec, now)
-	rec := &ledger.Job{Spec: spec, At: at, Born: now.UnixMilli(), Size: n.chunkSize(spec)}
+	rec := &ledger.Job{Spec: spec, At: at, Born: now.UnixMilli(), Size: n.chunkSize(spec, at)}
 	key := ledger.JobKeys + spec.Ref
 	conds := []ledger.Cond{{Key: key, Stamp: 0}}
 	ops := []ledger.Op{{Key: key, Value: rec}}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strings"
 	"time"
 
@@ -330,14 +331,24 @@
 // chunkSize is how many tasks of a job are claimed together. Gangs, services
 // and jobs whose tasks depend on one another's zones are claimed whole, so
 // that one record decides where their tasks may go. Other arrays make as few
-// chunks as values allow whose tasks all run at once: each costs its own writes.
-func (n *Node) chunkSize(s *protocol.Submission) int {
+// chunks as they well can, since each costs its own writes: as many as they have
+// copies, or fewer where a chunk is small beside the shards that may claim it.
+// On small shards a whole array in one of them waited while others had room.
+func (n *Node) chunkSize(s *protocol.Submission, at []string) int {
 	const maxChunks = 24 // finishing a job compares them all
 	if s.Shape != protocol.Array || s.SameZone || s.Spread {
 		return s.Tasks
 	}
-	size := max(n.pol.ChunkTasks, n.cfg.StateLimit.MaxOpen(), (s.Tasks+maxChunks-1)/maxChunks)
-	return min(size, s.Tasks)
+	cpus := math.Inf(1)
+	for _, name := range at {
+		cpus = min(cpus, n.loads[name].load.CPUs)
+	}
+	small := n.cfg.StateLimit.MaxOpen()
+	if s.CPUs > 0 {
+		small = int(min(float64(small), cpus/4/s.CPUs))
+	}
+	parts := min(max(1, n.pol.Copies), maxChunks)
+	return min(s.Tasks, max(n.pol.ChunkTasks, (s.Tasks+parts-1)/parts, small))
 }
 
 // counts tells how many tasks of a job are done and running, for display.
