--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -374,7 +375,11 @@
 // moveReplicas stops what a machine being emptied still runs, one replica of
 // each service at a time, so that a service goes on while it moves.
 func (n *Node) moveReplicas(m *machine, now time.Time) {
-	for _, p := range m.use.places {
+	for _, name := range slices.Sorted(maps.Keys(m.use.places)) {
+		p := m.use.places[name]
+		if p == nil {
+			continue
+		}
 		c := p.c
 		if c.rec == nil || c.pend != nil || c.spec == nil || len(c.evict) > 0 || len(c.rec.Open) < c.rec.Count {
 			continue
@@ -467,6 +472,11 @@
 	}
 	budget := n.arrayBudget(arrays, supply, now)
 	for _, w := range arrays {
+		if budget <= 0 && n.stranded(w, supply) {
+			got := n.fill(&supply, w, now, eps) // one machine
+			need = append(need, got...)
+			continue
+		}
 		got := n.fill(&supply, w, now, budget)
 		for _, o := range got {
 			budget -= o.typ.CPUs
@@ -528,7 +538,8 @@
 // retryHires repeats recorded hires without an answer, those of an earlier
 // leader too: the same name rents nothing twice.
 func (n *Node) retryHires(now time.Time) {
-	for _, h := range n.hires {
+	for _, name := range slices.Sorted(maps.Keys(n.hires)) {
+		h := n.hires[name]
 		if h.stamp != 0 && !h.busy && now.After(h.next) {
 			n.sendHire(h)
 		}
@@ -625,7 +636,8 @@
 // tidyGroups drops the records whose machines are all gone, each with a record
 // of its own that says so.
 func (n *Node) tidyGroups() {
-	for name, g := range n.groups {
+	for _, name := range slices.Sorted(maps.Keys(n.groups)) {
+		g := n.groups[name]
 		if slices.ContainsFunc(g.hosts, func(host string) bool { return n.machines[host].rec.State != ledger.Gone }) {
 			continue
 		}
@@ -654,7 +666,8 @@
 			out = append(out, r)
 		}
 	}
-	for _, h := range n.hires {
+	for _, name := range slices.Sorted(maps.Keys(n.hires)) {
+		h := n.hires[name]
 		if t := n.types[h.rec.Type]; t != nil {
 			for _, p := range h.rec.Parts {
 				for range p.Count {
@@ -680,8 +693,8 @@
 			continue
 		}
 		spec := j.rec.Spec
-		if spec.Shape == protocol.Service {
-			service = spec
+		if spec.Shape == protocol.Service && (service == nil || spec.Ref < service.Ref) {
+			service = spec // any will do, but the same one every time
 		}
 		free := math.MaxInt
 		if n.limited(spec) {
@@ -717,8 +730,9 @@
 		}
 		return strings.Compare(a.spec.Ref, b.spec.Ref)
 	}
-	slices.SortFunc(urgent, byPrio)
-	slices.SortFunc(arrays, byPrio)
+	// Stable: a job's chunks stay in their order.
+	slices.SortStableFunc(urgent, byPrio)
+	slices.SortStableFunc(arrays, byPrio)
 	if service != nil && n.pol.WarmShare > 0 {
 		warm := int(math.Ceil(float64(services)*n.pol.WarmShare)) + 2
 		like := *service
@@ -781,6 +795,17 @@
 	return max(left*7/10-est, n.pol.ArrayWait, est)
 }
 
+// stranded tells that no machine, there or coming, could ever run a task of an
+// array's. The budget counts room of every shard and kind alike, so that arrays
+// which only some of it can take, those with cards or with their chunk in a
+// shard that has lost its machines, would wait for ever beside it.
+func (n *Node) stranded(w want, supply []*room) bool {
+	zones := newZoneRule(w.spec, w.taken)
+	return !slices.ContainsFunc(supply, func(r *room) bool {
+		return canEver(w.spec, r.total) && allowed(w.spec, r.typ, r.zone, r.spot) && zones.permits(r.zone) && (w.shard == "" || r.shard == "" || w.shard == r.shard)
+	})
+}
+
 // fill puts a want into the supply and returns the machines to hire for what
 // is left, at most about budget CPUs of them.
 func (n *Node) fill(supply *[]*room, w want, now time.Time, budget float64) []offer {
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"madderslip/internal/ledger"
 	"madderslip/internal/policy"
+	"madderslip/internal/protocol"
 	"madderslip/internal/standin"
 )
 
@@ -18,12 +21,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() { cancel(); time.Sleep(time.Minute) }()
-		s := settings("n0")
+		s := protocol.Settings{Node: "n0", Cloud: "cloud", State: "state", Nodes: 1, Zones: []string{"a"}, Workers: protocol.WorkerSettings{Report: 2 * time.Second, Lease: 12 * time.Second},
+			StateLimit: protocol.StateLimits{RPS: 200, WriteRPS: 80, ValueBytes: 8192, TxnOps: 12}, CloudLimit: protocol.CloudLimits{RPS: 8}}
 		pol, err := policy.Load("", s)
 		if err != nil {
 			t.Fatal(err)
 		}
-		w := standin.NewWorld(ctx, 1, workerTimes, nil)
+		w := standin.NewWorld(ctx, 1, s.Workers, nil)
 		w.AddMachines(1, "a")
 		log := slog.New(slog.DiscardHandler)
 		link := standin.Link{W: w, Node: "n0", Ctx: ctx}
@@ -33,7 +37,8 @@
 		n.storeMachine("vm-000001", &ledger.Machine{Shard: "n0", State: ledger.Returning}, 1)
 		go n.cloudLoop(ctx)
 		time.Sleep(3 * time.Second)
-		if len(w.Events()) != 1 {
+		returned := slices.DeleteFunc(w.Events(), func(line string) bool { return !strings.HasSuffix(line, " returned") })
+		if len(returned) != 1 {
 			t.Fatalf("wanted the machine returned once, saw %v", w.Events())
 		}
 	})
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -66,10 +67,11 @@
 // touches tells whether a claim has placements on a shard's machines. One
 // without any is minded by the first shard, so that it is tidied up.
 func (n *Node) touches(c *claim, shard string) bool {
-	if len(c.rec.Open) == 0 {
+	rec := c.latest() // the first version may still be on its way; without this a pass crashed
+	if rec == nil || len(rec.Open) == 0 {
 		return n.shardNames()[0] == shard
 	}
-	return slices.ContainsFunc(c.rec.Open, func(p ledger.Placement) bool {
+	return slices.ContainsFunc(rec.Open, func(p ledger.Placement) bool {
 		m := n.machines[p.Host]
 		return m != nil && m.rec.Shard == shard
 	})
@@ -120,7 +122,8 @@
 // at once could each hold what the other needs.
 func (n *Node) gather(now time.Time) {
 	var current *job
-	for ref, g := range n.gathers {
+	for _, ref := range slices.Sorted(maps.Keys(n.gathers)) {
+		g := n.gathers[ref]
 		if g.stamp == 0 || g.busy {
 			continue
 		}
@@ -161,7 +164,8 @@
 // hold is an owner's part: hold the room that a shard has for the job being
 // gathered, and let go when the leader no longer asks.
 func (n *Node) hold(s *shard, now time.Time) {
-	for ref, g := range n.gathers {
+	for _, ref := range slices.Sorted(maps.Keys(n.gathers)) {
+		g := n.gathers[ref]
 		h := g.holds[s.name]
 		if h == nil {
 			h = &heldRoom{}
@@ -220,7 +224,8 @@
 
 // chargeHolds takes held room out of the free room, but for the job but.
 func (n *Node) chargeHolds(s *shard, but string, byHost map[string]*room) {
-	for ref, g := range n.gathers {
+	for _, ref := range slices.Sorted(maps.Keys(n.gathers)) {
+		g := n.gathers[ref]
 		h, j := g.holds[s.name], n.jobs[ref]
 		if ref == but || h == nil || h.stamp == 0 || j == nil || j.rec.Spec == nil {
 			continue
--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -241,6 +241,7 @@
 	for name, t := range m.tasks {
 		if t.Phase != protocol.TaskExited && m.use.places[name] == nil {
 			take(n.specOf(name)) // a stray; housekeeping is ending it
+			m.stale = true       // its job may be forgotten any moment, and its size with it
 		}
 	}
 	return m.left[0], m.left[1], m.left[2]
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -1,12 +1,14 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -64,12 +66,13 @@
 	machines   map[string]*machine
 	jobs       map[string]*job
 	claims     map[string]*claim
-	orphans    map[string]map[string]*claim // claims seen before their job, by ref
+	orphans    map[string]map[string]*claim // claims seen before their job, by ref; no set is empty
+	lookingUp  bool                         // the jobs of some of them are being read
 	final      map[string]finalJob
 	teams      map[string]*teamUse
 	hires      map[string]*hire
 	lead       string
-	leadAt     time.Time
+	leadMine   bool // this very process leads
 	leadBusy   bool
 	unknown    map[string]unknownHost
 	gathers    map[string]*gathering
@@ -122,6 +125,17 @@
 	loaner    bool
 }
 
+func (k machineKind) compare(o machineKind) int {
+	return cmp.Or(strings.Compare(k.typ, o.typ), strings.Compare(k.zone, o.zone), cmp.Compare(btoi(k.loaner), btoi(o.loaner)))
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Options are a node's collaborators.
 type Options struct {
 	Settings protocol.Settings
@@ -156,6 +170,10 @@
 	return n
 }
 
+// loopGap is how far apart the loops start: their periods are multiples of one
+// another, and started together they would wait for the lock together for ever.
+const loopGap = 1370 * time.Microsecond
+
 // Run starts the loops and returns when the context ends.
 func (n *Node) Run(ctx context.Context) {
 	n.mu.Lock()
@@ -163,8 +181,12 @@
 	n.mu.Unlock()
 	loops := []func(context.Context){n.watchLoop, n.sessionLoop, n.shardLoop, n.workLoop, n.probeLoop, n.cloudLoop, n.fleetLoop, n.peerLoop}
 	var wg sync.WaitGroup
-	for _, loop := range loops {
-		wg.Go(func() { loop(ctx) })
+	for i, loop := range loops {
+		wg.Go(func() {
+			if pause(ctx, time.Duration(i)*loopGap) {
+				loop(ctx)
+			}
+		})
 	}
 	wg.Wait()
 }
@@ -283,7 +305,13 @@
 					wait <- err
 				})
 			n.mu.Unlock()
-			if err := <-wait; err != nil {
+			var err error
+			select {
+			case err = <-wait:
+			case <-ctx.Done():
+				return // the ledger may have ended first
+			}
+			if err != nil {
 				n.log.Info("cannot register", "err", err)
 				if errors.Is(err, ledger.ErrInvalid) {
 					permit = 0 // the lease ended before it was used
@@ -324,11 +352,12 @@
 		t.Deadline = time.Now().Add(within)
 	}
 	t.Done = func(res ledger.Result) {
-		if res.Err != nil {
-			n.refresh(res, t)
-		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		if keys := n.doubtful(res, t); len(keys) > 0 {
+			go n.refresh(keys, func() { done(res.Err) })
+			return
+		}
 		if res.Err == nil {
 			for _, op := range ops {
 				n.store(op.Key, op.Value, res.Epoch)
@@ -340,11 +369,10 @@
 	n.led.Submit(t)
 }
 
-// refresh reads the keys on which a transaction failed, since deciding again
-// from the same cache would only fail again.
-func (n *Node) refresh(res ledger.Result, t *ledger.Txn) {
+// doubtful lists the keys to be read again after a transaction failed, since
+// deciding again from the same cache would only fail again.
+func (n *Node) doubtful(res ledger.Result, t *ledger.Txn) []string {
 	var keys []string
-	n.mu.Lock()
 	for _, c := range t.Conds {
 		// What the watch has brought meanwhile need not be read, except for users:
 		// the cache may be newer than the condition and still older than what
@@ -353,12 +381,16 @@
 			keys = append(keys, c.Key)
 		}
 	}
-	n.mu.Unlock()
 	if errors.Is(res.Err, ledger.ErrUnknown) {
 		for _, op := range t.Ops {
 			keys = append(keys, op.Key)
 		}
 	}
+	return keys
+}
+
+// refresh reads keys into the cache and then calls done with the lock held.
+func (n *Node) refresh(keys []string, done func()) {
 	n.mu.Lock()
 	ctx := n.ctx
 	n.mu.Unlock()
@@ -373,6 +405,10 @@
 		n.take(it)
 		n.mu.Unlock()
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	done()
+	n.poke()
 }
 
 // call makes an HTTP call with a JSON answer.
--- a/internal/coordination/index_test.go
+++ b/internal/coordination/place_test.go
@@ -2,97 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"testing"
 	"time"
 
-	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
 )
 
-// recountAll works out from the claims alone what the indexes should hold.
-func (n *Node) recountAll() error {
-	places := make(map[string]map[string]*claim)
-	use := make(map[teamShard][2]float64)
-	inShard := make(map[*claim]string)
-	for _, c := range n.claims {
-		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
-			if rec == nil {
-				continue
-			}
-			for _, p := range rec.Open {
-				if places[p.Host] == nil {
-					places[p.Host] = make(map[string]*claim)
-				}
-				places[p.Host][protocol.TaskName(c.ref, p.Task)] = c
-			}
-		}
-		rec := c.rec
-		if rec == nil {
-			rec = c.pend
-		}
-		if rec == nil {
-			continue
-		}
-		inShard[c] = rec.Shard
-		if c.spec != nil {
-			k := teamShard{c.spec.Team, rec.Shard}
-			u := use[k]
-			use[k] = [2]float64{u[0] + float64(len(rec.Open))*c.spec.CPUs, u[1] + float64(len(rec.Open))*c.spec.GPUs}
-		}
-	}
-	for host, h := range n.hosts {
-		if len(h.places) != len(places[host]) {
-			return fmt.Errorf("%s has %d places, counted %d", host, len(h.places), len(places[host]))
-		}
-		for name, p := range h.places {
-			if places[host][name] != p.c {
-				return fmt.Errorf("%s: place of %s", host, name)
-			}
-		}
-	}
-	for host := range places {
-		if n.hosts[host] == nil {
-			return fmt.Errorf("%s is not known", host)
-		}
-	}
-	for k, u := range use {
-		if got := n.use[k]; math.Abs(got[0]-u[0]) > eps || math.Abs(got[1]-u[1]) > eps {
-			return fmt.Errorf("%v uses %v, counted %v", k, got, u)
-		}
-	}
-	for k, got := range n.use {
-		if _, counted := use[k]; !counted && (got[0] > eps || got[1] > eps) {
-			return fmt.Errorf("%v uses %v, counted nothing", k, got)
-		}
-	}
-	for _, s := range n.shards {
-		for c := range s.claims {
-			if inShard[c] != s.name {
-				return fmt.Errorf("%s is not a claim of %s", c.key, s.name)
-			}
-			delete(inShard, c)
-		}
-		for _, m := range s.machines {
-			kept := m.left
-			if m.stale {
-				continue
-			}
-			m.stale = true
-			if n.free(m); m.left != kept {
-				return fmt.Errorf("%s had %v free, counted %v", m.host, kept, m.left)
-			}
-		}
-	}
-	for c, shard := range inShard {
-		if _, wide := n.wideClaims[c]; (shard == "") != wide {
-			return fmt.Errorf("%s is in no index", c.key)
-		}
-	}
-	return nil
-}
-
 func roomsFor(t *protocol.MachineType, free ...float64) []*room {
 	var rooms []*room
 	for i, cpus := range free {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -656,8 +657,9 @@
 // holdPlans sets the planned room of a shard's machines apart.
 func (n *Node) holdPlans(s *shard, rooms []*room, now time.Time) {
 	held := false
-	for ref, p := range n.plans {
-		j := n.jobs[ref]
+	refs := slices.Sorted(maps.Keys(n.plans))
+	for _, ref := range refs {
+		p, j := n.plans[ref], n.jobs[ref]
 		if now.After(p.until) || j == nil || j.rec.Final() {
 			delete(n.plans, ref)
 			continue
@@ -669,8 +671,9 @@
 	}
 	n.detail(rooms, now)
 	for _, r := range rooms {
-		for ref, p := range n.plans {
-			if k := p.hosts[r.host]; k > 0 && r.reservedFor == "" {
+		for _, ref := range refs {
+			if p := n.plans[ref]; p != nil && p.hosts[r.host] > 0 && r.reservedFor == "" {
+				k := p.hosts[r.host]
 				r.hold(n.jobs[ref].rec.Spec, ref, k, now.Add(time.Second))
 			}
 		}
--- /dev/null
+++ b/internal/coordination/recount.go
@@ -0,0 +1,130 @@
+package coordination
+
+import (
+	"fmt"
+	"math"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+// Recount works out from the claims alone what the indexes should hold, and
+// says where they differ. It is for tests: it walks over everything.
+func (n *Node) Recount() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	places := make(map[string]map[string]*claim)
+	use := make(map[teamShard][2]float64)
+	inShard := make(map[*claim]string)
+	for _, c := range n.claims {
+		for _, rec := range []*ledger.Claim{c.rec, c.pend} {
+			if rec == nil {
+				continue
+			}
+			for _, p := range rec.Open {
+				if places[p.Host] == nil {
+					places[p.Host] = make(map[string]*claim)
+				}
+				places[p.Host][protocol.TaskName(c.ref, p.Task)] = c
+			}
+		}
+		rec := c.rec
+		if rec == nil {
+			rec = c.pend
+		}
+		if rec == nil {
+			continue
+		}
+		inShard[c] = rec.Shard
+		if c.spec != nil {
+			k := teamShard{c.spec.Team, rec.Shard}
+			u := use[k]
+			use[k] = [2]float64{u[0] + float64(len(rec.Open))*c.spec.CPUs, u[1] + float64(len(rec.Open))*c.spec.GPUs}
+		}
+	}
+	for host, h := range n.hosts {
+		if len(h.places) != len(places[host]) {
+			return fmt.Errorf("%s has %d places, counted %d", host, len(h.places), len(places[host]))
+		}
+		for name, p := range h.places {
+			if places[host][name] != p.c {
+				return fmt.Errorf("%s: place of %s", host, name)
+			}
+		}
+	}
+	for host := range places {
+		if n.hosts[host] == nil {
+			return fmt.Errorf("%s is not known", host)
+		}
+	}
+	for k, u := range use {
+		if got := n.use[k]; math.Abs(got[0]-u[0]) > eps || math.Abs(got[1]-u[1]) > eps {
+			return fmt.Errorf("%v uses %v, counted %v", k, got, u)
+		}
+	}
+	for k, got := range n.use {
+		if _, counted := use[k]; !counted && (got[0] > eps || got[1] > eps) {
+			return fmt.Errorf("%v uses %v, counted nothing", k, got)
+		}
+	}
+	for _, s := range n.shards {
+		for c := range s.claims {
+			if inShard[c] != s.name {
+				return fmt.Errorf("%s is not a claim of %s", c.key, s.name)
+			}
+			delete(inShard, c)
+		}
+		for _, m := range s.machines {
+			kept := m.left
+			if m.stale {
+				continue
+			}
+			m.stale = true
+			if n.free(m); m.left != kept {
+				return fmt.Errorf("%s had %v free, counted %v", m.host, kept, m.left)
+			}
+		}
+	}
+	for c, shard := range inShard {
+		if _, wide := n.wideClaims[c]; (shard == "") != wide {
+			return fmt.Errorf("%s is in no index", c.key)
+		}
+	}
+	return nil
+}
+
+// Leftovers lists what this node still keeps in memory although no job is open.
+func (n *Node) Leftovers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	count := func(what string, k int) {
+		if k > 0 {
+			out = append(out, fmt.Sprintf("%d %s", k, what))
+		}
+	}
+	count("jobs", len(n.jobs))
+	count("claims", len(n.claims))
+	count("claims without a job", len(n.orphans))
+	count("wide claims", len(n.wideClaims))
+	count("jobs with waiting tasks", len(n.hungry))
+	count("plans to displace", len(n.plans))
+	count("hires without an answer", len(n.hires))
+	for _, s := range n.shards {
+		count("claims to look at in "+s.name, len(s.dirty))
+	}
+	for name, t := range n.teams {
+		if t.busy {
+			out = append(out, "team "+name+" is marked busy")
+		}
+	}
+	for name, m := range n.machines {
+		if m.returning && m.rec.State == ledger.Gone {
+			continue
+		}
+		if m.returning {
+			out = append(out, name+" is marked as being returned")
+		}
+	}
+	return out
+}
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 )
 
 const (
+	gatherNews = time.Millisecond
 	passGap    = 15 * time.Millisecond // passes are at least this far apart
 	passEvery  = 500 * time.Millisecond
 	resendGap  = 700 * time.Millisecond
@@ -29,6 +31,8 @@
 			tick.Stop()
 			return
 		case <-n.kick:
+			// What came together is looked at together.
+			pause(ctx, gatherNews)
 		case <-tick.C:
 		}
 		tick.Stop()
@@ -69,37 +73,65 @@
 		n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Intents: n.intents, Planned: n.planned})
 		n.intents, n.planned = nil, nil
 	}
-	for ref, set := range n.orphans {
-		n.lookUp(ref, set, now)
-	}
+	n.lookUps(now)
 }
 
-// lookUp reads the job of claims whose job this node has forgotten or not
-// seen: a cancelled job can be passed on ahead of its claim.
-func (n *Node) lookUp(ref string, set map[string]*claim, now time.Time) {
-	for _, c := range set {
-		if !c.again.Before(now) {
-			return
+// lookUpsAtOnce bounds how many jobs are read in one go.
+const lookUpsAtOnce = 32
+
+// lookUps reads the jobs of claims whose job this node has forgotten or not
+// seen: a cancelled job can be passed on ahead of its claim. One goroutine reads
+// at a time. When each had its own, some seven thousand waited for the request
+// budget on a bad day, until the process ended for memory, and the watch behind
+// them was so late that cancelled tasks ran on.
+func (n *Node) lookUps(now time.Time) {
+	if n.lookingUp || len(n.orphans) == 0 {
+		return
+	}
+	var refs []string
+	for _, ref := range slices.Sorted(maps.Keys(n.orphans)) {
+		due := true
+		for _, c := range n.orphans[ref] {
+			due = due && c.again.Before(now)
 		}
-		c.again = now.Add(time.Second)
+		if due && len(refs) < lookUpsAtOnce {
+			refs = append(refs, ref)
+		}
+	}
+	if len(refs) == 0 {
+		return
 	}
+	n.lookingUp = true
 	ctx := n.ctx
-	key := ledger.JobKeys + ref
 	go func() {
-		it, err := n.led.Get(ctx, key)
-		if err != nil || it.Value == nil {
-			return
+		for _, ref := range refs {
+			ctx, cancel := context.WithTimeout(ctx, lookUpWithin)
+			it, err := n.led.Get(ctx, ledger.JobKeys+ref)
+			cancel()
+			n.mu.Lock()
+			n.lookedUp(ref, it, err)
+			n.mu.Unlock()
 		}
 		n.mu.Lock()
-		defer n.mu.Unlock()
-		if n.hasClaims(ref) && n.jobs[ref] == nil {
-			delete(n.final, ref)
-			delete(n.stamps, key)
-			n.take(it)
-		}
+		n.lookingUp = false
+		n.mu.Unlock()
 	}()
 }
 
+const lookUpWithin = 2 * time.Second
+
+func (n *Node) lookedUp(ref string, it ledger.Item, err error) {
+	for _, c := range n.orphans[ref] {
+		c.again = time.Now().Add(time.Second)
+	}
+	if err != nil || it.Value == nil || !n.hasClaims(ref) || n.jobs[ref] != nil {
+		return
+	}
+	delete(n.final, ref)
+	delete(n.stamps, it.Key)
+	n.take(it)
+}
+
 // settle works through the claims of a shard: what has ended is booked, what
 // should run is started, what should not is stopped.
 func (n *Node) settle(s *shard, now time.Time) {
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -103,12 +103,12 @@
 		n.mu.Lock()
 		if n.loaded && n.permit != 0 {
 			now := time.Now()
-			for _, s := range n.shards {
-				if !s.busy {
+			for _, name := range n.shardNames() {
+				if s := n.shards[name]; !s.busy {
 					n.tendShard(s, now)
 				}
 			}
-			n.tendLead(now)
+			n.tendLead()
 		}
 		n.mu.Unlock()
 	}
@@ -218,25 +218,33 @@
 
 // tendLead seeks the lead when nobody has it. The record hangs on the node's
 // lease, so it goes when its holder does.
-func (n *Node) tendLead(now time.Time) {
+func (n *Node) tendLead() {
 	if n.leadStamp != 0 || n.leadBusy {
 		return
 	}
 	n.leadBusy = true
 	n.commit(ledger.PrioRest, []ledger.Cond{{Key: ledger.LeaderKey, Stamp: 0}},
-		[]ledger.Op{{Key: ledger.LeaderKey, Value: &ledger.Leader{Node: n.cfg.Node}, Grant: n.permit}}, 2*time.Second,
-		func(err error) {
-			n.leadBusy = false
-			if err == nil {
-				n.leadAt = now
-				n.log.Info("leading")
-			}
-		})
+		[]ledger.Op{{Key: ledger.LeaderKey, Value: &ledger.Leader{Node: n.cfg.Node, Boot: n.boot.UnixMilli()}, Grant: n.permit}}, 2*time.Second,
+		func(error) { n.leadBusy = false })
+}
+
+// storeLead takes the record of who leads. It tells the process as well as the
+// node: one left by an earlier process of this node goes with that one's lease,
+// and one made by this process counts even if its commit's answer was lost. A
+// leader that waited for the answer did not lead, and nobody else could.
+func (n *Node) storeLead(r *ledger.Leader, stamp uint64) {
+	n.lead, n.leadStamp, n.leadMine = "", 0, false
+	if r == nil {
+		return
+	}
+	n.lead, n.leadStamp = r.Node, stamp
+	if n.leadMine = r.Node == n.cfg.Node && r.Boot == n.boot.UnixMilli(); n.leadMine {
+		n.log.Info("leading")
+	}
 }
 
 // leading tells whether this process leads, and knows all that earlier leaders
-// recorded. A record left by an earlier
-// process of this node does not count: it goes with that process's lease.
+// recorded.
 func (n *Node) leading() bool {
-	return n.lead == n.cfg.Node && n.leadStamp != 0 && !n.leadAt.IsZero() && n.permit != 0 && n.epoch >= n.leadStamp
+	return n.leadMine && n.permit != 0 && n.epoch >= n.leadStamp
 }
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -121,11 +121,8 @@
 		r, _ := rec.(*ledger.Hold)
 		n.storeHold(strings.TrimPrefix(key, ledger.HoldKeys), r, stamp)
 	case key == ledger.LeaderKey:
-		if r, _ := rec.(*ledger.Leader); r == nil {
-			n.lead, n.leadStamp = "", 0
-		} else {
-			n.lead, n.leadStamp = r.Node, stamp
-		}
+		r, _ := rec.(*ledger.Leader)
+		n.storeLead(r, stamp)
 	}
 	n.poke()
 }
@@ -310,7 +307,12 @@
 func (n *Node) unlinkClaim(c *claim) {
 	delete(n.claims, c.key)
 	n.reindex(c)
-	delete(n.orphans[c.ref], c.key)
+	if set := n.orphans[c.ref]; set != nil {
+		// An empty set that stayed had its job looked up in every pass, for ever.
+		if delete(set, c.key); len(set) == 0 {
+			delete(n.orphans, c.ref)
+		}
+	}
 	if j := n.jobs[c.ref]; j != nil {
 		delete(j.claims, c.chunk)
 		if j.rec != nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -431,7 +432,8 @@
 			hosts[u.kind] = append(hosts[u.kind], host)
 		}
 	}
-	for kind, list := range hosts {
+	for _, kind := range slices.SortedFunc(maps.Keys(hosts), machineKind.compare) {
+		list := hosts[kind]
 		slices.Sort(list)
 		for part := range slices.Chunk(list, maxHire) {
 			n.adoptGroup(kind, part, now)
@@ -449,8 +451,8 @@
 		n.unknown[host] = unknownHost{busy: true, shard: shard, kind: kind}
 		byShard[shard] = append(byShard[shard], host)
 	}
-	for shard, list := range byShard {
-		for _, host := range list {
+	for _, shard := range slices.Sorted(maps.Keys(byShard)) {
+		for _, host := range byShard[shard] {
 			rec.Share(shard)
 			rec.Hosts = append(rec.Hosts, host)
 		}
@@ -458,7 +460,8 @@
 	// A hire that is still without an answer may have rented these. If it is
 	// answered first, this fails, and none of them is put into two shards.
 	conds := []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}}
-	for _, h := range n.hires {
+	for _, name := range slices.Sorted(maps.Keys(n.hires)) {
+		h := n.hires[name]
 		if h.stamp != 0 && h.rec.Type == kind.typ && h.rec.Zone == kind.zone && h.rec.Spot == kind.loaner && len(conds) < 2*n.cfg.StateLimit.TxnOps {
 			conds = append(conds, ledger.Cond{Key: ledger.HireKeys + h.name, Stamp: h.stamp})
 		}
@@ -535,8 +538,8 @@
 	for pause(ctx, 300*time.Millisecond) {
 		n.mu.Lock()
 		now := time.Now()
-		for _, s := range n.shards {
-			if n.active(s) {
+		for _, name := range n.shardNames() {
+			if s := n.shards[name]; n.active(s) {
 				for _, m := range s.machines {
 					n.tendMachine(s, m, now)
 				}
@@ -586,6 +589,10 @@
 	n.returnMachine(s, m)
 }
 
+// probeTimeout is no multiple of the probe loop's period: whether a probe ended
+// before or after the pass at the same instant would be left to chance.
+const probeTimeout = 1480 * time.Millisecond
+
 // probe asks a machine for its account. An answer proves it alive even when
 // its reports do not arrive.
 func (n *Node) probe(m *machine) {
@@ -593,7 +600,7 @@
 	addr, ctx := m.address(), n.ctx
 	go func() {
 		var r protocol.Report
-		status, err := n.call(ctx, addr, "GET", protocol.PathShow, nil, &r, 1500*time.Millisecond)
+		status, err := n.call(ctx, addr, "GET", protocol.PathShow, nil, &r, probeTimeout)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		m.probing = false
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -56,6 +56,7 @@
 	mu       sync.Mutex
 	pending  []*Txn
 	inflight int
+	ended    bool
 	kick     chan struct{}
 	spent    [prios]spent
 	told     time.Time
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -105,7 +106,8 @@
 	batchBytes  = 60 << 10
 )
 
-// Submit queues a transaction. Done is called once, from another goroutine.
+// Submit queues a transaction. Done is called once, from another goroutine; it
+// must not wait, since others are told after it.
 func (c *Client) Submit(t *Txn) {
 	for _, op := range t.Ops {
 		w := wireOp{}
@@ -127,10 +129,48 @@
 		t.size += len(cond.Key) + 48
 	}
 	t.since = time.Now()
+	c.queue(t)
+	c.poke()
+}
+
+// queue has transactions sent. Once the client has ended nothing is sent any
+// more, and each gets its result at once: whoever waits for it would wait for
+// ever, and with it a controller that is told to stop.
+func (c *Client) queue(list ...*Txn) {
 	c.mu.Lock()
-	c.pending = append(c.pending, t)
+	ended := c.ended
+	if !ended {
+		c.pending = append(c.pending, list...)
+	}
 	c.mu.Unlock()
-	c.poke()
+	if ended {
+		abandon(list)
+	}
+}
+
+// abandon ends transactions that are not sent, or not sent again.
+func abandon(list []*Txn) {
+	if len(list) == 0 {
+		return
+	}
+	go func() {
+		for _, t := range list {
+			err := ErrRefused
+			if t.unsure {
+				err = ErrUnknown
+			}
+			t.Done(Result{Err: err})
+		}
+	}()
+}
+
+// end answers all that still waits.
+func (c *Client) end() {
+	c.mu.Lock()
+	left := c.pending
+	c.pending, c.ended = nil, true
+	c.mu.Unlock()
+	abandon(left)
 }
 
 func (c *Client) poke() {
@@ -140,8 +180,10 @@
 	}
 }
 
-// Run sends queued transactions until the context ends.
+// Run sends queued transactions until the context ends. Those that still wait
+// then get their result, as do all that are submitted later.
 func (c *Client) Run(ctx context.Context) {
+	defer c.end()
 	wait := 250 * time.Millisecond
 	for {
 		tick := time.NewTimer(wait)
@@ -192,7 +234,9 @@
 	if left := c.reqs.TokensAt(now); left < 1 {
 		return nil, waitFor(1-left, c.reqs.Limit())
 	}
-	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return a.rank(now) - b.rank(now) })
+	// The most urgent first, and of those the oldest: one that is sent again keeps
+	// its place.
+	slices.SortStableFunc(c.pending, func(a, b *Txn) int { return cmp.Or(a.rank(now)-b.rank(now), a.since.Compare(b.since)) })
 	pause := idle
 	budget := c.writes.TokensAt(now)
 	reads, oldest := 0, now
@@ -280,9 +324,14 @@
 		return true
 	})
 	c.mu.Unlock()
-	for _, t := range doomed {
-		go t.Done(Result{Err: ErrConflict, Epoch: stamp, Failed: []string{key}})
+	if len(doomed) == 0 {
+		return
 	}
+	go func() { // the caller may hold a lock that Done takes
+		for _, t := range doomed {
+			t.Done(Result{Err: ErrConflict, Epoch: stamp, Failed: []string{key}})
+		}
+	}()
 }
 
 // expire ends transactions whose caller no longer waits.
@@ -297,13 +346,7 @@
 		return false
 	})
 	c.mu.Unlock()
-	for _, t := range late {
-		err := ErrRefused
-		if t.unsure {
-			err = ErrUnknown
-		}
-		go t.Done(Result{Err: err}) // it may read keys, which must not hold up the others
-	}
+	abandon(late)
 }
 
 // pick takes the most urgent transactions that fit one request and the budget
@@ -395,7 +438,7 @@
 		Failed []string `json:"failed"`
 	}
 	status, err := c.call(ctx, "POST", protocol.PathMulti, body, &out, txnTimeout)
-	c.settle(batch, status, out.Epoch, out.Failed, err)
+	c.settle(ctx, batch, status, out.Epoch, out.Failed, err)
 	c.mu.Lock()
 	c.inflight--
 	c.mu.Unlock()
@@ -403,7 +446,7 @@
 }
 
 // settle gives each transaction of a batch its result or sends it again.
-func (c *Client) settle(batch []*Txn, status int, epoch uint64, failed []string, err error) {
+func (c *Client) settle(ctx context.Context, batch []*Txn, status int, epoch uint64, failed []string, err error) {
 	var again []*Txn
 	pause := time.Duration(0)
 	switch {
@@ -440,11 +483,9 @@
 		return
 	}
 	if pause > 0 {
-		time.Sleep(pause)
+		sleep(ctx, pause)
 	}
-	c.mu.Lock()
-	c.pending = append(again, c.pending...)
-	c.mu.Unlock()
+	c.queue(again...)
 }
 
 func (c *Client) sortFailed(batch []*Txn, failed []string, epoch uint64) (again []*Txn) {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -255,6 +255,7 @@
 // Leader names the controller that hires and gathers.
 type Leader struct {
 	Node string `json:"o"`
+	Boot int64  `json:"b,omitempty"` // which process of the node, as in its own record
 }
 
 // ClaimKey is the key of a job's chunk.
--- /dev/null
+++ b/internal/schedule/calm.go
@@ -0,0 +1,162 @@
+package schedule
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+const (
+	calmSpare  = 60              // machines the cloud has for what still waits
+	calmWithin = 6 * time.Minute // everything accepted is over, or runs, by then
+	tidyWithin = 6 * time.Minute // and after that nothing is left of it
+	calmLook   = 5 * time.Second
+)
+
+// calm ends all troubles and checks what must be so some time later: what was
+// accepted is final or runs, every controller says the same, and once all is
+// over nothing of it is left anywhere.
+func (c *cluster) calm() error {
+	c.w.Calm()
+	c.w.Spare = max(c.w.Spare, calmSpare)
+	for _, name := range names {
+		if err := c.start(name); err != nil {
+			return err
+		}
+	}
+	time.Sleep(calmLook)
+	c.users.Wait() // no user insists for longer than a minute
+	if err := c.until(calmWithin, c.settled); err != nil {
+		return err
+	}
+	for _, j := range c.w.Accepted() {
+		if j.Fails || j.Shape == protocol.Service {
+			if got := c.w.Insist(names[0], func(node string) int { return c.w.Abort(node, j.Ref) }); got != 200 {
+				return fmt.Errorf("unanswered: the abort of %s got %d after calm", j.Ref, got)
+			}
+		}
+	}
+	return c.until(tidyWithin, c.tidy)
+}
+
+// until looks again and again whether a check holds, and returns why not.
+func (c *cluster) until(within time.Duration, check func() error) error {
+	end := time.Now().Add(within)
+	for {
+		err := check()
+		if err == nil {
+			err = c.recount()
+		}
+		c.mu.Lock()
+		fault := c.fault
+		c.mu.Unlock()
+		if fault != nil {
+			return fault
+		}
+		if err == nil || time.Now().After(end) || len(c.w.Broken()) > 0 {
+			return err
+		}
+		time.Sleep(calmLook)
+	}
+}
+
+// settled checks the jobs: each is final at every controller or, a service,
+// runs whole.
+func (c *cluster) settled() error {
+	for _, j := range c.w.Accepted() {
+		final := 0
+		for _, name := range names {
+			status, a := c.w.Query(name, j.Ref)
+			if status != 200 {
+				return fmt.Errorf("not_answered: %s answers %d for %s after calm", name, status, j.Ref)
+			}
+			if a.Phase == protocol.Done || a.Phase == protocol.Cancelled {
+				final++
+			}
+		}
+		switch {
+		case final == len(names):
+		case final > 0 || (j.Shape != protocol.Service && !j.Fails):
+			return fmt.Errorf("not_final: %s is final at %d controllers after calm", j.Ref, final)
+		case !j.Fails:
+			if got := c.w.Running(j.Ref); got != j.Tasks {
+				return fmt.Errorf("not_running: %d of %d replicas of %s run after calm", got, j.Tasks, j.Ref)
+			}
+		}
+	}
+	return nil
+}
+
+// tidy checks that nothing is left of jobs that are all over: no task, no
+// machine, no claim, no reserved use, and no record without an owner.
+func (c *cluster) tidy() error {
+	if k := c.w.Running(""); k > 0 {
+		return fmt.Errorf("leaked: %d tasks run though every job is over", k)
+	}
+	records := make(map[string]json.RawMessage)
+	for key, value := range c.w.State.Keys() {
+		_, key, _ = strings.Cut(key, "/")
+		records[key] = value
+	}
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		if why := leaked(key, records[key]); why != "" {
+			return fmt.Errorf("leaked: %s: %s", key, why)
+		}
+	}
+	if hosts := c.w.Rented(); len(hosts) > 0 {
+		return fmt.Errorf("leaked: %v are rented and unused", hosts)
+	}
+	for _, name := range names {
+		c.mu.Lock()
+		p := c.nodes[name]
+		c.mu.Unlock()
+		if left := p.node.Leftovers(); len(left) > 0 {
+			return fmt.Errorf("leaked: %s keeps %s", name, strings.Join(left, ", "))
+		}
+	}
+	return nil
+}
+
+// leaked tells why a record should not be there once every job is over and
+// every machine returned.
+func leaked(key string, value json.RawMessage) string {
+	switch {
+	case strings.HasPrefix(key, ledger.ClaimKeys):
+		return "a claim of a job that is over"
+	case strings.HasPrefix(key, ledger.GatherKeys), strings.HasPrefix(key, ledger.HoldKeys):
+		return "room held for nobody"
+	case strings.HasPrefix(key, ledger.TeamKeys):
+		var t ledger.Team
+		if err := json.Unmarshal(value, &t); err != nil {
+			return err.Error()
+		}
+		for shard, use := range t.Use {
+			if use != [2]float64{} {
+				return fmt.Sprintf("%v reserved in %s", use, shard)
+			}
+		}
+	case strings.HasPrefix(key, ledger.HireKeys):
+		var h ledger.Hire
+		if err := json.Unmarshal(value, &h); err != nil {
+			return err.Error()
+		}
+		if len(h.Hosts) == 0 {
+			return "a hire without an answer"
+		}
+	case strings.HasPrefix(key, ledger.MachineKeys):
+		var m ledger.Machine
+		if err := json.Unmarshal(value, &m); err != nil {
+			return err.Error()
+		}
+		if m.State != ledger.Gone {
+			return "a machine that is not gone"
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/schedule/cluster.go
@@ -0,0 +1,194 @@
+// Package schedule plays scripts of what happens to a cluster, written by
+// people (the kept traces) or drawn from a seed, against the stand-in world on
+// a fake clock. The world judges the rules all along; after calm the player
+// looks at what must be so then. The same script and seed give the same events
+// to the letter, so that a failing one can be replayed, shrunk and kept.
+package schedule
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"madderslip/internal/coordination"
+	"madderslip/internal/ledger"
+	"madderslip/internal/policy"
+	"madderslip/internal/protocol"
+	"madderslip/internal/standin"
+)
+
+// Names are the controllers of a cluster.
+var names = [...]string{"n0", "n1", "n2"}
+
+// cluster is three controllers in a stand-in world.
+type cluster struct {
+	ctx    context.Context
+	seed   uint64
+	w      *standin.World
+	policy string // file with the operators' settings, or empty
+	users  sync.WaitGroup
+
+	mu    sync.Mutex
+	nodes map[string]*process
+	fault error // the first thing that went wrong outside the rules
+}
+
+// process is a controller that runs.
+type process struct {
+	node  *coordination.Node
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// settings are what the platform hands to a controller.
+func settings(name string) protocol.Settings {
+	s := protocol.Settings{Node: name, Zone: "a", Cloud: "cloud", State: "state", Nodes: len(names), Zones: []string{"a", "b"},
+		Teams: map[string]protocol.Team{"open": {Name: "open"}, "tight": {Name: "tight", CPUsMax: 4}, "cards": {Name: "cards", GPUs: 2, GMax: 4},
+			"lent": {Name: "lent", CPUs: 8, CPUsMax: 16}},
+		Workers: protocol.WorkerSettings{Report: 2 * time.Second, Lease: 12 * time.Second, GangWait: 30 * time.Second,
+			GangPeer: 6 * time.Second, Cancel: 30 * time.Second},
+		StateLimit: protocol.StateLimits{RPS: 200, WriteRPS: 80, ValueBytes: 8192, TxnOps: 12},
+		CloudLimit: protocol.CloudLimits{RPS: 8, ListLag: 2 * time.Second},
+		Machine:    protocol.MachineLimits{CPUShare: 0.3, RAMBytes: 128 << 20, MaxConns: 1000}}
+	for _, other := range names {
+		if other != name {
+			s.Peers = append(s.Peers, protocol.Peer{Node: other, Zone: "a", Addr: other})
+		}
+	}
+	return s
+}
+
+func newCluster(ctx context.Context, seed uint64) *cluster {
+	s := settings(names[0])
+	c := &cluster{ctx: ctx, seed: seed, nodes: make(map[string]*process)}
+	c.w = standin.NewWorld(ctx, seed, s.Workers, s.Teams)
+	c.w.State.Limit(s.StateLimit.RPS, s.StateLimit.WriteRPS)
+	c.w.Lag = s.CloudLimit.ListLag
+	c.w.Types = append(c.w.Types, protocol.MachineType{Name: "g2", CPUs: 16, GPUs: 2, MemGB: 64, CacheGB: 50, PullGBps: 1, Price: 6, SpotPrice: 2, BootS: 12, Zones: []string{"a", "b"}})
+	return c
+}
+
+// peer carries a controller's messages to another.
+type peer struct {
+	c        *cluster
+	from, to string
+}
+
+// Call delivers a message if the other controller runs and their links are up.
+func (p peer) Call(ctx context.Context, in, _ any) error {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return p.c.w.Peer(ctx, p.from, p.to, raw, func(ctx context.Context, raw []byte) error {
+		p.c.mu.Lock()
+		other := p.c.nodes[p.to]
+		p.c.mu.Unlock()
+		if other == nil {
+			return fmt.Errorf("%s is down", p.to)
+		}
+		_, err := other.node.HandlePeer(ctx, raw)
+		return err
+	})
+}
+
+// start runs a controller, unless it runs already.
+func (c *cluster) start(name string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nodes[name] != nil {
+		return nil
+	}
+	s := settings(name)
+	pol, err := policy.Load(c.policy, s)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if os.Getenv("TRACE_LOG") == name {
+		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	link := standin.Link{W: c.w, Node: name, Ctx: ctx}
+	led := ledger.New(link, "state", s.StateLimit, log)
+	peers := make(map[string]coordination.PeerCaller)
+	for _, p := range s.Peers {
+		peers[p.Node] = peer{c, name, p.Node}
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	n := coordination.New(coordination.Options{Settings: s, Policy: pol, Ledger: led, HTTP: link, Peers: peers, Log: log, Rand: rand.New(rand.NewPCG(c.seed, h.Sum64()))})
+	p := &process{node: n, stop: stop, ended: make(chan struct{})}
+	c.nodes[name] = p
+	c.w.Note("%s starts", name)
+	go led.Run(ctx)
+	go func() {
+		n.Run(ctx)
+		close(p.ended)
+	}()
+	c.w.SetNode(name, n.Handle)
+	return nil
+}
+
+// runEnds is how long a controller may take to return from Run.
+const runEnds = 10 * time.Second
+
+// kill ends a controller. Its Run must return soon: an embedding program would
+// hang in its own shutdown otherwise.
+func (c *cluster) kill(name string) {
+	c.mu.Lock()
+	p := c.nodes[name]
+	delete(c.nodes, name)
+	c.mu.Unlock()
+	if p == nil {
+		return
+	}
+	c.w.Note("%s ends", name)
+	c.w.SetNode(name, nil)
+	p.stop()
+	c.users.Go(func() {
+		select {
+		case <-p.ended:
+		case <-time.After(runEnds):
+			c.fail(fmt.Errorf("run_ends: %s does not return from Run within %v of its end", name, runEnds))
+		}
+	})
+}
+
+func (c *cluster) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fault == nil {
+		c.fault = err
+	}
+	c.w.Note("FAULT %v", err)
+}
+
+// live lists the controllers that run, in order.
+func (c *cluster) live() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.nodes))
+}
+
+// recount compares every live controller's indexes with a count from scratch.
+func (c *cluster) recount() error {
+	for _, name := range c.live() {
+		c.mu.Lock()
+		p := c.nodes[name]
+		c.mu.Unlock()
+		if err := p.node.Recount(); err != nil {
+			return fmt.Errorf("recount: indexes of %s: %w", name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/schedule/generate.go
@@ -0,0 +1,290 @@
+package schedule
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Script draws a schedule: jobs of every shape on a few machines, with troubles
+// that come in storms, since single ones are covered by the kept traces.
+func Script() *rapid.Generator[string] {
+	return rapid.Custom(func(t *rapid.T) string {
+		d := &draft{t: t}
+		d.fleet()
+		for range d.number("storms", 1, 3) {
+			d.storm(d.moment("storm", 7*time.Second, 50*time.Second))
+		}
+		for range d.number("jobs apart", 0, 3) {
+			d.job(d.moment("job", 4*time.Second, 60*time.Second))
+		}
+		for range d.number("polls", 1, 5) {
+			d.add(d.moment("poll", 5*time.Second, 90*time.Second), "user %s poll wk-%d", d.node(), d.number("ref", 1, 12))
+		}
+		return d.text()
+	})
+}
+
+type step struct {
+	at   time.Duration
+	text string
+}
+
+// draft is a schedule that is being drawn.
+type draft struct {
+	t     *rapid.T
+	steps []step
+	jobs  int
+}
+
+func (d *draft) add(at time.Duration, format string, a ...any) {
+	d.steps = append(d.steps, step{at, fmt.Sprintf(format, a...)})
+}
+
+// number draws evenly, a bit at a time: the library's own ranges prefer small
+// numbers, and with them all troubles came within the same milliseconds.
+func (d *draft) number(label string, low, high int) int {
+	n := uint64(high - low + 1)
+	drawn := uint64(0)
+	for range bits.Len64(n) + 8 {
+		drawn <<= 1
+		if rapid.Bool().Draw(d.t, label) {
+			drawn |= 1
+		}
+	}
+	return low + int(drawn%n)
+}
+
+func (d *draft) yes(percent int, label string) bool { return d.number(label, 1, 100) <= percent }
+
+// moment draws a time or a duration, down to the microsecond.
+func (d *draft) moment(label string, low, high time.Duration) time.Duration {
+	return time.Duration(d.number(label, int(low/time.Microsecond), int(high/time.Microsecond))) * time.Microsecond
+}
+
+// lasts draws how long a trouble lasts: mostly some seconds, at times longer
+// than any lease or limit.
+func (d *draft) lasts() time.Duration {
+	longest := []time.Duration{3 * time.Second, 15 * time.Second, 15 * time.Second, 50 * time.Second}
+	return d.moment("lasts", 200*time.Millisecond, longest[d.number("how long", 0, 3)])
+}
+
+func (d *draft) node() string { return names[d.number("node", 0, len(names)-1)] }
+
+func (d *draft) host() int { return d.number("host", 1, 9) }
+
+func (d *draft) pick(label string, from ...string) string {
+	return from[d.number(label, 0, len(from)-1)]
+}
+
+func (d *draft) fleet() {
+	d.add(0, "machines %d a", d.number("in a", 1, 4))
+	d.add(0, "machines %d b", d.number("in b", 1, 3))
+	if d.yes(35, "cheap ones") {
+		d.add(0, "machines %d a m8 cheap", d.number("cheap", 1, 3))
+	}
+	if d.yes(35, "cards") {
+		d.add(0, "machines %d b g2", d.number("with cards", 1, 2))
+	}
+	d.add(0, "spare %d", d.number("spare", 0, 8))
+}
+
+// job submits one, and may have it repeated or aborted. It returns its number.
+func (d *draft) job(at time.Duration) int {
+	d.jobs++
+	ref := fmt.Sprintf("wk-%d", d.jobs)
+	f := []string{ref}
+	switch d.pick("shape", "array", "array", "array", "gang", "service", "service") {
+	case "array":
+		f = append(f, "array", fmt.Sprintf("tasks=%d run=%d", d.number("tasks", 1, 40), d.number("run", 1, 20)))
+		f = d.maybe(f, 25, "saves=%d", 2, 6)
+		f = d.maybe(f, 20, "due=%d", 10, 90)
+	case "gang":
+		f = append(f, "gang", fmt.Sprintf("tasks=%d cpus=%d run=%d", d.number("tasks", 1, 6), d.number("cpus", 1, 4), d.number("run", 2, 25)))
+		f = d.maybe(f, 40, "saves=%d", 2, 6)
+		f = d.maybe(f, 30, "samezone", 0, 0)
+	default:
+		f = append(f, "service", fmt.Sprintf("tasks=%d", d.number("tasks", 1, 6)))
+		f = d.maybe(f, 30, "spread", 0, 0)
+	}
+	limited := false
+	switch d.number("team", 1, 10) {
+	case 1, 2, 3:
+		if f[1] == "array" {
+			f, limited = append(f, "team=tight"), true
+		}
+	case 4:
+		if f[1] == "array" {
+			f, limited = append(f, "team=lent"), true
+		}
+	case 5:
+		if f[1] == "array" {
+			f, limited = append(f, "team=cards cards=1"), true
+		}
+	}
+	if !slices.Contains(f, "spread") && !slices.Contains(f, "samezone") && !limited && d.yes(15, "one zone") {
+		f = append(f, "zone="+d.pick("zone", "a", "b"))
+	}
+	if d.yes(35, "cheap") {
+		f = append(f, "cheap")
+	}
+	if d.yes(50, "rank") {
+		f = append(f, "rank="+d.pick("rank", "critical", "high", "idle"))
+	}
+	f = append(f, "image=img-"+d.pick("image", "1", "1", "2", "3"))
+	f = d.maybe(f, 15, "fetch=%d", 3, 12)
+	f = d.maybe(f, 5, "fails", 0, 0)
+	job := strings.Join(f, " ")
+	d.add(at, "user %s submit %s", d.node(), job)
+	if d.yes(20, "repeated") {
+		d.add(at+d.moment("again", 0, 20*time.Second), "user %s submit %s", d.node(), job)
+	}
+	if d.yes(35, "aborted") {
+		d.abort(d.jobs, at+d.moment("abort", 0, 25*time.Second))
+	}
+	return d.jobs
+}
+
+func (d *draft) maybe(f []string, percent int, format string, low, high int) []string {
+	if !d.yes(percent, format) {
+		return f
+	}
+	if low == high {
+		return append(f, format)
+	}
+	return append(f, fmt.Sprintf(format, d.number(format, low, high)))
+}
+
+// abort has a job cancelled, at times by a node that ends as it answers.
+func (d *draft) abort(job int, at time.Duration) {
+	node := d.node()
+	d.add(at, "user %s abort wk-%d", node, job)
+	if d.yes(20, "ends at once") {
+		d.kill(node, at+d.moment("then", 0, 60*time.Millisecond))
+	}
+}
+
+func (d *draft) kill(node string, at time.Duration) {
+	d.add(at, "kill %s", node)
+	d.add(at+500*time.Millisecond+d.lasts()/2, "start %s", node)
+}
+
+func (d *draft) trouble(name string, at time.Duration) {
+	d.add(at, "trouble %s on", name)
+	d.add(at+d.lasts(), "trouble %s off", name)
+}
+
+func (d *draft) machine(host int, begin, end string, at time.Duration) {
+	d.add(at, "vm %06d %s", host, begin)
+	d.add(at+d.lasts(), "vm %06d %s", host, end)
+}
+
+// storm draws jobs and troubles that overlap.
+func (d *draft) storm(at time.Duration) {
+	for range d.number("jobs", 1, 3) {
+		d.job(at - d.moment("before", 0, 5*time.Second))
+	}
+	within := func() time.Duration { return at + d.moment("within", 0, 12*time.Second) }
+	if d.yes(50, "knot") {
+		d.knot(at)
+	}
+	for range d.number("troubles", 1, 5) {
+		d.any(within())
+	}
+}
+
+// any draws one trouble, the telling ones more often.
+func (d *draft) any(at time.Duration) {
+	switch d.pick("trouble", "kill", "kill", "kill all", "kill all", "outage", "outage", "refuse", "refuse", "slow", "lossy", "lossy", "deaf", "alone",
+		"cloud", "stingy", "half", "lost", "lost", "hang", "hang", "hang", "cut", "cut", "sick", "slow machine", "take", "wave") {
+	case "kill":
+		d.kill(d.node(), at)
+	case "kill all":
+		d.kill("all", at)
+	case "outage":
+		d.trouble("outage", at)
+	case "refuse":
+		d.trouble("refuse "+d.node(), at)
+	case "slow":
+		d.trouble("slow", at)
+	case "lossy":
+		d.trouble("lossy", at)
+	case "deaf":
+		d.trouble("deaf "+d.node(), at)
+	case "alone":
+		d.trouble("alone "+d.node(), at)
+	case "cloud":
+		d.trouble("cloud", at)
+	case "stingy":
+		d.trouble("stingy", at)
+	case "half":
+		d.trouble("half", at)
+	case "lost":
+		d.trouble("lost", at)
+	case "hang":
+		d.machine(d.host(), "hang", "resume", at)
+	case "cut":
+		d.machine(d.host(), "cut", "heal", at)
+	case "sick":
+		d.machine(d.host(), "sick", "well", at)
+	case "slow machine":
+		d.machine(d.host(), "slow", "well", at)
+	case "take":
+		d.add(at, "vm %06d %s", d.host(), d.pick("how", "take", "notice"))
+	case "wave":
+		d.add(at, "wave %s", d.pick("how", "take", "notice"))
+	}
+}
+
+// knot draws events that are known to be hard together, close to one another
+// and in any order.
+func (d *draft) knot(at time.Duration) {
+	soon := func() time.Duration { return at + d.moment("soon", 0, 4*time.Second) }
+	switch d.pick("knot", "abort", "limit", "gang") {
+	case "abort":
+		// Hang, abort and outage, with all controllers ended at times.
+		d.machine(d.host(), "hang", "resume", soon())
+		d.abort(max(1, d.jobs), soon())
+		d.trouble("outage", soon())
+		if d.yes(40, "all end") {
+			d.kill("all", soon()+d.moment("later", 0, 10*time.Second))
+		}
+	case "limit":
+		// A limited team's arrays wait in several shards, commits of unknown fate
+		// and takeovers between.
+		for range d.number("arrays", 2, 3) {
+			d.jobs++
+			d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d array tasks=%d run=%d team=tight", d.node(), d.jobs, d.number("tasks", 4, 20), d.number("run", 2, 10))
+		}
+		d.trouble(d.pick("loss", "lossy", "outage", "slow", "refuse n0"), soon())
+		if d.yes(50, "one ends") {
+			d.kill(d.node(), soon())
+		}
+		d.machine(d.host(), "hang", "resume", soon())
+	case "gang":
+		// Two machines of one gang are lost, or are about to be.
+		d.jobs++
+		d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d gang tasks=%d cpus=4 run=%d saves=3", d.node(), d.jobs, d.number("tasks", 2, 5), d.number("run", 5, 20))
+		first := d.host()
+		d.machine(first, d.pick("first", "hang", "cut"), "resume", soon())
+		d.machine(first+1, "hang", "resume", soon())
+		d.add(at+30*time.Second, "vm %06d heal", first)
+	}
+}
+
+// text writes the schedule down in order, with calm at its end.
+func (d *draft) text() string {
+	slices.SortStableFunc(d.steps, func(a, b step) int { return int(a.at - b.at) })
+	var b strings.Builder
+	last := time.Duration(0)
+	for _, s := range d.steps {
+		fmt.Fprintf(&b, "%-14s %s\n", s.at, s.text)
+		last = s.at
+	}
+	fmt.Fprintf(&b, "%-14s calm\n", last+time.Second)
+	return b.String()
+}
--- /dev/null
+++ b/internal/schedule/one_test.go
@@ -0,0 +1,26 @@
+package schedule
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+var script = flag.String("script", "", "file with a script to play")
+
+// TestScript plays the script of -script and prints all that happened.
+func TestScript(t *testing.T) {
+	if *script == "" {
+		t.Skip("no -script")
+	}
+	text, err := os.ReadFile(*script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := play(t, string(text), uint64(*from))
+	fmt.Println(out)
+	if out.Kind() != "" {
+		t.Error(out.Kind())
+	}
+}
--- /dev/null
+++ b/internal/schedule/script.go
@@ -0,0 +1,295 @@
+package schedule
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"madderslip/internal/protocol"
+	"madderslip/internal/standin"
+)
+
+// Outcome is what became of a script.
+type Outcome struct {
+	Line   string   // at which it ended, if it did not reach the end
+	Err    error    // what was not as the script or the calm after it wants it
+	Broken []string // rules of the protocol
+	Events []string // what happened, a line each
+}
+
+// Kind names what went wrong, in a word: a rule's name or that of a check
+// after calm. It is empty if all was well.
+func (o *Outcome) Kind() string {
+	text := ""
+	switch {
+	case len(o.Broken) > 0:
+		text = o.Broken[0]
+	case o.Err != nil:
+		text = o.Err.Error()
+	}
+	kind, _, _ := strings.Cut(text, ":")
+	return kind
+}
+
+// String is the outcome with all that happened, for a person to read.
+func (o *Outcome) String() string {
+	var b strings.Builder
+	if o.Err != nil {
+		fmt.Fprintf(&b, "%q: %v\n", o.Line, o.Err)
+	}
+	if len(o.Broken) > 0 {
+		fmt.Fprintf(&b, "rules broken: %v\n", o.Broken)
+	}
+	b.WriteString(strings.Join(o.Events, "\n"))
+	return b.String()
+}
+
+// Play runs a script: lines of a time, an actor and what it does or what must
+// be so by then; what follows a # is a comment. It is called in a test bubble,
+// whose clock is the script's.
+func Play(script string, seed uint64) *Outcome {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := newCluster(ctx, seed)
+	defer func() {
+		for _, name := range c.live() {
+			c.kill(name)
+		}
+		c.users.Wait()
+		cancel()
+		time.Sleep(time.Minute) // the bubble's goroutines see the end
+	}()
+	out := &Outcome{}
+	began := time.Now()
+	for _, name := range names {
+		if out.Err = c.start(name); out.Err != nil {
+			return out
+		}
+	}
+	for num, line := range strings.Split(script, "\n") {
+		text, _, _ := strings.Cut(line, "#")
+		f := strings.Fields(text)
+		if len(f) == 0 {
+			continue
+		}
+		at, err := time.ParseDuration(f[0])
+		if err != nil || len(f) < 2 {
+			out.Line, out.Err = line, fmt.Errorf("script: line %d is not a time and a step", num+1)
+			break
+		}
+		if wait := at - time.Since(began); wait > 0 {
+			time.Sleep(wait)
+		}
+		err = c.step(f[1:])
+		if err == nil {
+			err = c.recount()
+		}
+		c.mu.Lock()
+		if err == nil {
+			err = c.fault
+		}
+		c.mu.Unlock()
+		if err != nil {
+			out.Line, out.Err = line, err
+			break
+		}
+	}
+	out.Broken, out.Events = c.w.Broken(), c.w.Events()
+	return out
+}
+
+// step carries out one line.
+func (c *cluster) step(f []string) error {
+	arg := func(i int) string {
+		if i < len(f) {
+			return f[i]
+		}
+		return ""
+	}
+	each := func(do func(string) error) error {
+		for _, name := range names {
+			if arg(1) == name || arg(1) == "all" {
+				if err := do(name); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+	switch f[0] {
+	case "machines": // machines COUNT ZONE [TYPE [cheap]]
+		n, _ := strconv.Atoi(arg(1))
+		typ := arg(3)
+		if typ == "" {
+			typ = c.w.Types[0].Name
+		}
+		c.w.AddKind(n, typ, arg(2), arg(4) == "cheap")
+	case "spare": // spare COUNT: what the cloud has left to rent
+		c.w.Spare, _ = strconv.Atoi(arg(1))
+	case "submit": // submit NODE REF shape tasks=N key=value
+		j, want, err := job(f[2:])
+		if err != nil {
+			return err
+		}
+		if got := c.w.Submit(arg(1), j); got != want {
+			return fmt.Errorf("answered %d, wanted %d", got, want)
+		}
+	case "abort": // abort NODE REF
+		if got := c.w.Abort(arg(1), arg(2)); got != 200 {
+			return fmt.Errorf("answered %d", got)
+		}
+	case "user": // user NODE submit|abort|poll REF ...: not waited for, repeated as users do
+		return c.user(arg(1), arg(2), f[3:])
+	case "kill":
+		return each(func(name string) error { c.kill(name); return nil })
+	case "start":
+		return each(c.start)
+	case "outage":
+		c.w.Trouble("outage", arg(1) == "on")
+	case "refuse":
+		c.w.Trouble("refuse "+arg(1), arg(2) == "on")
+	case "deafen":
+		c.w.Trouble("deaf "+arg(1), arg(2) == "on")
+	case "trouble": // trouble NAME [NODE] on|off
+		c.w.Trouble(strings.Join(f[1:len(f)-1], " "), f[len(f)-1] == "on")
+	case "vm": // vm HOST hang|resume|cut|heal|sick|slow|well|notice|take
+		c.w.Set("vm-"+arg(1), arg(2))
+	case "wave": // wave notice|take: the cloud wants its cheap machines back
+		for _, host := range c.w.Hosts(true) {
+			c.w.Set(host, arg(1))
+		}
+	case "calm":
+		return c.calm()
+	case "expect":
+		return c.expect(f[1:])
+	default:
+		return fmt.Errorf("script: unknown step %q", f[0])
+	}
+	return nil
+}
+
+func (c *cluster) user(node, what string, f []string) error {
+	switch what {
+	case "submit":
+		j, _, err := job(f)
+		if err != nil {
+			return err
+		}
+		c.users.Go(func() { c.w.Insist(node, func(node string) int { return c.w.Submit(node, j) }) })
+	case "abort":
+		c.users.Go(func() { c.w.Insist(node, func(node string) int { return c.w.Abort(node, f[0]) }) })
+	case "poll":
+		c.users.Go(func() { c.w.Query(node, f[0]) })
+	default:
+		return fmt.Errorf("script: users do not %q", what)
+	}
+	return nil
+}
+
+// job reads REF SHAPE key=value ... and the status that its submission should
+// get.
+func job(f []string) (*standin.Job, int, error) {
+	shapes := map[string]protocol.Shape{"array": protocol.Array, "gang": protocol.Gang, "service": protocol.Service}
+	if len(f) < 2 || shapes[f[1]] == "" {
+		return nil, 0, fmt.Errorf("script: no job in %v", f)
+	}
+	j := &standin.Job{Spec: protocol.Submission{Ref: f[0], Class: f[1], Team: "open", Shape: shapes[f[1]], Rank: "normal", Tasks: 1,
+		CPUs: 2, MemGB: 2, Image: "img-1", ImageGB: 1}}
+	want := 201
+	for _, kv := range f[2:] {
+		key, value, _ := strings.Cut(kv, "=")
+		n, _ := strconv.ParseFloat(value, 64)
+		switch key {
+		case "tasks":
+			j.Spec.Tasks = int(n)
+		case "cpus":
+			j.Spec.CPUs = n
+		case "cards":
+			j.Spec.GPUs = n
+		case "run":
+			j.Run = protocol.Seconds(n)
+			j.Spec.ExpectS = n
+		case "saves": // every so many seconds
+			j.Spec.SnapshotEveryS, j.Spec.SnapshotS = n, 2
+		case "due":
+			j.Spec.DueS = &n
+		case "rank":
+			j.Spec.Rank = value
+		case "team":
+			j.Spec.Team = value
+		case "zone":
+			j.Spec.Zone = value
+		case "spread":
+			j.Spec.Spread = true
+		case "samezone":
+			j.Spec.SameZone = true
+		case "cheap":
+			j.Spec.Spot = true
+		case "fails":
+			j.Fail = true
+		case "image":
+			j.Spec.Image = value
+		case "fetch":
+			j.Fetch = protocol.Seconds(n)
+		case "answer":
+			want = int(n)
+		default:
+			return nil, 0, fmt.Errorf("script: unknown key %q", key)
+		}
+	}
+	return j, want, nil
+}
+
+// expect checks what a line says must be so: REF done|cancelled|unknown from
+// every live node that answers (at least one must), REF running N, or returned N
+// machines so far.
+func (c *cluster) expect(f []string) error {
+	if len(f) < 2 {
+		return fmt.Errorf("script: expect what?")
+	}
+	if f[1] == "running" {
+		n, _ := strconv.Atoi(f[2])
+		if got := c.w.Running(f[0]); got != n {
+			return fmt.Errorf("%d tasks run", got)
+		}
+		return nil
+	}
+	if f[0] == "returned" {
+		n, _ := strconv.Atoi(f[1])
+		got := 0
+		for _, line := range c.w.Events() {
+			if strings.HasSuffix(line, " returned") {
+				got++
+			}
+		}
+		if got != n {
+			return fmt.Errorf("%d machines were returned", got)
+		}
+		return nil
+	}
+	answers := 0
+	for _, name := range c.live() {
+		status, a := c.w.Query(name, f[0])
+		switch {
+		case f[1] == "unknown" && status == 404, status == 200 && a.Phase == f[1]:
+			answers++
+		case status == 503 || status == 0:
+		default:
+			return fmt.Errorf("%s answers %d %s", name, status, a.Phase)
+		}
+	}
+	if answers == 0 && f[1] != "unanswered" {
+		return fmt.Errorf("nobody answers")
+	}
+	return nil
+}
+
+// cut splits a script into its lines, without comments and empty ones.
+func cut(script string) []string {
+	return slices.DeleteFunc(strings.Split(script, "\n"), func(line string) bool {
+		line, _, _ = strings.Cut(line, "#")
+		return strings.TrimSpace(line) == ""
+	})
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// cloud answers a call of the cloud's API.
+func (w *World) cloud(method, target string, body []byte) (int, []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.trouble["cloud"] {
+		return reply(503, map[string]string{"error": "trouble"})
+	}
+	switch {
+	case target == protocol.PathMachineTypes:
+		return reply(200, protocol.MachineTypes{Types: w.Types})
+	case target == protocol.PathMachines && method == "POST":
+		return w.rent(body)
+	case target == protocol.PathReturn:
+		var h protocol.HostNames
+		if json.Unmarshal(body, &h) != nil {
+			return 400, nil
+		}
+		for _, host := range h.Hosts {
+			if m := w.machines[host]; m != nil && !m.gone {
+				w.note("%s returned", host)
+				w.remove(m)
+			}
+		}
+		return reply(200, map[string]any{})
+	}
+	// The list is as old as its lag; what is younger is missing, and what has
+	// gone since is still there.
+	asOf := time.Now().Add(-w.Lag)
+	var list protocol.MachineList
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		m := w.machines[host]
+		if m.born.After(asOf) || (m.gone && m.goneAt.Before(asOf)) {
+			continue
+		}
+		phase := "running"
+		if m.up.After(asOf) {
+			phase = "booting"
+		}
+		list.Hosts = append(list.Hosts, protocol.ListedMachine{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Spot: m.spot, Phase: phase,
+			HeldS: asOf.Sub(m.born).Seconds()})
+	}
+	return reply(200, list)
+}
+
+func (w *World) rent(body []byte) (int, []byte) {
+	var h protocol.Hire
+	if json.Unmarshal(body, &h) != nil {
+		return 400, nil
+	}
+	hosts, again := w.hires[h.Name]
+	if !again {
+		count := min(h.Count, w.Spare)
+		if w.trouble["half"] {
+			count = min(count, (h.Count+1)/2)
+		}
+		if w.trouble["stingy"] {
+			count = 0
+		}
+		for range count {
+			w.Spare--
+			hosts = append(hosts, w.boot(h.Type, h.Zone, h.Spot, w.between(6*time.Second, 15*time.Second, h.Name)))
+		}
+		if len(hosts) == 0 {
+			return reply(503, map[string]string{"error": "no capacity"})
+		}
+		w.hires[h.Name] = hosts
+	}
+	return reply(200, protocol.HostNames{Hosts: hosts})
+}
+
+// remove takes a machine away with everything on it.
+func (w *World) remove(m *Machine) {
+	m.gone, m.goneAt = true, time.Now()
+	m.kill()
+	delete(w.held, m.host)
+	w.Spare++
+	m.poke()
+}
+
+// Rented lists the machines that are rented now.
+func (w *World) Rented() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		if !w.machines[host].gone {
+			out = append(out, host)
+		}
+	}
+	return out
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -4,14 +4,18 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/url"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 type kv struct {
@@ -37,28 +41,41 @@
 	mu      sync.Mutex
 	keys    map[string]kv
 	log     []change
+	keep    int    // how many changes a watch can go back, at least
+	dropped uint64 // the newest change that is no longer kept
 	epoch   uint64
 	grants  map[uint64]*grant
 	nextID  uint64
 	changed chan struct{}
 	down    bool
+	reqs    *rate.Limiter
+	writes  *rate.Limiter
 }
 
 func newState() *State {
-	return &State{keys: make(map[string]kv), grants: make(map[uint64]*grant), changed: make(chan struct{})}
+	return &State{keys: make(map[string]kv), keep: 10_000, grants: make(map[uint64]*grant), changed: make(chan struct{}),
+		reqs: rate.NewLimiter(rate.Inf, 0), writes: rate.NewLimiter(rate.Inf, 0)}
+}
+
+// Limit sets the budgets; both allow bursts of one second's worth.
+func (s *State) Limit(rps, writeRPS float64) {
+	s.reqs = rate.NewLimiter(rate.Limit(rps), int(rps))
+	s.writes = rate.NewLimiter(rate.Limit(writeRPS), int(writeRPS))
 }
 
-// run ends leases until the context does.
+// run ends leases until the context does. They end as much as 100 ms late, but
+// never early.
 func (s *State) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(50 * time.Millisecond):
+		case <-time.After(50*time.Millisecond + 41*time.Nanosecond):
 		}
 		s.mu.Lock()
-		for id, g := range s.grants {
-			if !s.down && time.Now().After(g.ends) {
+		for _, id := range slices.Sorted(maps.Keys(s.grants)) {
+			late := time.Duration(id%3) * 45 * time.Millisecond
+			if !s.down && time.Now().After(s.grants[id].ends.Add(late)) {
 				s.end(id)
 			}
 		}
@@ -68,16 +85,34 @@
 
 func (s *State) end(id uint64) {
 	delete(s.grants, id)
-	for key, v := range s.keys {
-		if v.grant == id {
+	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		if s.keys[key].grant == id {
 			s.epoch++
 			delete(s.keys, key)
-			s.log = append(s.log, change{Drop: key, Stamp: s.epoch})
+			s.record(change{Drop: key, Stamp: s.epoch})
 		}
 	}
 	s.wake()
 }
 
+func (s *State) record(c change) {
+	if s.log = append(s.log, c); len(s.log) > 2*s.keep {
+		s.dropped = s.log[len(s.log)-s.keep-1].Stamp
+		s.log = slices.Clone(s.log[len(s.log)-s.keep:])
+	}
+}
+
+// Keys is what is stored, for checks once a test's work is over.
+func (s *State) Keys() map[string]json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]json.RawMessage, len(s.keys))
+	for key, v := range s.keys {
+		out[key] = v.value
+	}
+	return out
+}
+
 func (s *State) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -104,14 +139,19 @@
 	if err != nil {
 		return 400, nil
 	}
-	if method == "GET" && u.Path == "/watch" {
-		return s.watch(ctx, u.Query())
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return 503, nil
 	}
+	if !s.reqs.Allow() {
+		return 429, nil
+	}
+	if method == "GET" && u.Path == "/watch" {
+		s.mu.Unlock()
+		defer s.mu.Lock()
+		return s.watch(ctx, u.Query())
+	}
 	switch {
 	case method == "GET" && u.Path == "/keys":
 		return s.list(u.Query())
@@ -183,6 +223,9 @@
 	if json.Unmarshal(body, &in) != nil {
 		return 400, nil
 	}
+	if len(in.Writes) > 0 && !s.writes.AllowN(time.Now(), len(in.Writes)) {
+		return 429, nil
+	}
 	for _, w := range in.Writes {
 		if w.Permit != 0 && s.grants[w.Permit] == nil {
 			return reply(400, map[string]string{"error": "no such lease"})
@@ -203,10 +246,10 @@
 	for _, w := range in.Writes {
 		if w.Set != "" {
 			s.keys[w.Set] = kv{w.Value, s.epoch, w.Permit}
-			s.log = append(s.log, change{Set: w.Set, Value: w.Value, Stamp: s.epoch})
+			s.record(change{Set: w.Set, Value: w.Value, Stamp: s.epoch})
 		} else if _, ok := s.keys[w.Drop]; ok {
 			delete(s.keys, w.Drop)
-			s.log = append(s.log, change{Drop: w.Drop, Stamp: s.epoch})
+			s.record(change{Drop: w.Drop, Stamp: s.epoch})
 		}
 	}
 	s.wake()
@@ -220,14 +263,15 @@
 	for {
 		s.mu.Lock()
 		news := []change{}
+		epoch, changed := s.epoch, s.changed
 		if !s.down {
-			for _, c := range s.log {
-				if c.Stamp > from {
-					news = append(news, c)
-				}
+			at, _ := slices.BinarySearchFunc(s.log, from+1, func(c change, stamp uint64) int { return cmp.Compare(c.Stamp, stamp) })
+			news = append(news, s.log[at:]...)
+			if from < s.dropped {
+				s.mu.Unlock()
+				return 410, nil
 			}
 		}
-		epoch, changed := s.epoch, s.changed
 		s.mu.Unlock()
 		if len(news) > 0 {
 			return reply(200, map[string]any{"epoch": epoch, "news": news})
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"madderslip/internal/protocol"
+	"madderslip/internal/transport"
+)
+
+// Job is a job as the world knows it: what was submitted and how its tasks
+// really run.
+type Job struct {
+	Spec      protocol.Submission
+	Run       time.Duration // 0 for a service
+	Fail      bool          // every task fails
+	Fetch     time.Duration // of its image, if longer than usual
+	accepted  bool
+	told      string // the latest phase a user was told
+	cancelled time.Time
+	done      map[int]bool
+}
+
+// Submit sends a job to a node and waits for the answer.
+func (w *World) Submit(node string, j *Job) int {
+	w.mu.Lock()
+	if old := w.jobs[j.Spec.Ref]; old != nil {
+		j = old
+	} else {
+		j.done = make(map[int]bool)
+		w.jobs[j.Spec.Ref] = j
+	}
+	w.mu.Unlock()
+	body, _ := json.Marshal(j.Spec)
+	status, raw := w.Ask(node, "POST", "/submissions", body, 5*time.Second)
+	w.told(j.Spec.Ref, status, raw, status == 200 || status == 201)
+	return status
+}
+
+// Abort asks a node to cancel a job.
+func (w *World) Abort(node, ref string) int {
+	w.mu.Lock()
+	w.aborted[ref] = true
+	w.mu.Unlock()
+	status, raw := w.Ask(node, "POST", "/submissions/"+ref+"/abort", nil, 5*time.Second)
+	w.told(ref, status, raw, false)
+	return status
+}
+
+// Query asks a node for a job; phase is empty without an answer.
+func (w *World) Query(node, ref string) (status int, a protocol.JobAnswer) {
+	status, raw := w.Ask(node, "GET", "/submissions/"+ref, nil, 2*time.Second)
+	w.told(ref, status, raw, false)
+	_ = json.Unmarshal(raw, &a)
+	return status, a
+}
+
+// Insist repeats a request as a user does, at one node after the other, for up
+// to a minute, until it has a definite answer.
+func (w *World) Insist(node string, request func(node string) int) int {
+	w.mu.Lock()
+	names := slices.Clone(w.names)
+	w.mu.Unlock()
+	began := time.Now()
+	for i := slices.Index(names, node); time.Since(began) < time.Minute; i++ {
+		switch status := request(names[max(i, 0)%len(names)]); status {
+		case 200, 201, 400, 404, 422:
+			return status
+		}
+		if !wait(w.ctx, time.Second+137*time.Microsecond) {
+			break
+		}
+	}
+	return 0
+}
+
+// Ask makes a user's request.
+func (w *World) Ask(node, method, target string, body []byte, timeout time.Duration) (int, []byte) {
+	w.mu.Lock()
+	h := w.nodes[node]
+	there, back := w.between(100*time.Microsecond, time.Millisecond, node, target), w.between(100*time.Microsecond, time.Millisecond, node, target)
+	w.mu.Unlock()
+	if h == nil || !wait(w.ctx, there) {
+		return 0, nil
+	}
+	got := make(chan transport.Response, 1)
+	go h(method, target, body, func(r transport.Response) { got <- r })
+	select {
+	case r := <-got:
+		if !wait(w.ctx, back) {
+			return 0, nil
+		}
+		return r.Status, r.Body
+	case <-time.After(timeout):
+		return 0, nil
+	case <-w.ctx.Done():
+		return 0, nil
+	}
+}
+
+// told checks an answer against what users were told before.
+func (w *World) told(ref string, status int, raw []byte, accepted bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.jobs[ref]
+	if j == nil {
+		if status == 200 {
+			w.breakRule("invented", "%s", ref)
+		}
+		return
+	}
+	if accepted {
+		j.accepted = true
+	}
+	if status == 404 && j.accepted || (status == 400 || status == 422) && j.accepted {
+		w.breakRule("forgotten", "%s got %d", ref, status)
+	}
+	var a protocol.JobAnswer
+	if (status != 200 && status != 201) || json.Unmarshal(raw, &a) != nil {
+		return
+	}
+	final := func(p string) bool { return p == protocol.Done || p == protocol.Cancelled }
+	if final(j.told) && a.Phase != j.told {
+		w.breakRule("went_back", "%s was %s, is %s", ref, j.told, a.Phase)
+	}
+	if a.Phase == protocol.Cancelled && !w.aborted[ref] {
+		w.breakRule("went_back", "%s cancelled by nobody", ref)
+	}
+	if a.Phase == protocol.Done && len(j.done) < j.Spec.Tasks {
+		w.breakRule("not_done", "%s has %d of %d", ref, len(j.done), j.Spec.Tasks)
+	}
+	if a.Phase == protocol.Cancelled && j.cancelled.IsZero() {
+		j.cancelled = time.Now()
+		w.note("%s is cancelled", ref)
+	}
+	j.told = a.Phase
+}
+
+// Known is a job that was accepted, for checks once a test's work is over.
+type Known struct {
+	Ref   string
+	Shape protocol.Shape
+	Tasks int
+	Fails bool
+}
+
+// Accepted lists the jobs that users were told are accepted.
+func (w *World) Accepted() []Known {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Known
+	for _, ref := range slices.Sorted(maps.Keys(w.jobs)) {
+		if j := w.jobs[ref]; j.accepted {
+			out = append(out, Known{ref, j.Spec.Shape, j.Spec.Tasks, j.Fail})
+		}
+	}
+	return out
+}
+
+// check looks for cancelled tasks that stay, and for teams beyond their limit.
+func (w *World) check() {
+	for wait(w.ctx, 500*time.Millisecond+73*time.Nanosecond) {
+		w.mu.Lock()
+		use := make(map[string][2]float64)
+		for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+			m := w.machines[host]
+			for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+				ref, _, _ := protocol.SplitTask(name)
+				j := w.jobs[ref]
+				if m.gone || j == nil || !m.tasks[name].on() {
+					continue
+				}
+				u := use[j.Spec.Team]
+				use[j.Spec.Team] = [2]float64{u[0] + j.Spec.CPUs, u[1] + j.Spec.GPUs}
+				if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
+					w.breakRule("ran_cancelled", "%s on %s", name, m.host)
+				}
+			}
+		}
+		for _, team := range slices.Sorted(maps.Keys(use)) {
+			limit := w.Teams[team]
+			if u := use[team]; (limit.CPUsMax > 0 && u[0] > limit.CPUsMax+1e-6) || (limit.GMax > 0 && u[1] > limit.GMax+1e-6) {
+				w.breakRule("quota", "%s uses %v of %v CPUs and %v cards", team, u, limit.CPUsMax, limit.GMax)
+			}
+		}
+		w.mu.Unlock()
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
 	"madderslip/internal/protocol"
@@ -15,10 +18,13 @@
 	w               *World
 	host, typ, zone string
 	spot            bool
-	born            time.Time
+	born, up        time.Time
+	goneAt          time.Time
 	gone, hung      bool
-	cutOff          bool // no packets in or out; commands are held and come late
+	cutOff          bool // no packets in or out; what is sent is held and comes late
 	sick            bool // every task that starts here fails
+	slow            bool // tasks take four times as long
+	warning         time.Time
 	session, seq    uint64
 	token           uint64
 	tasks           map[string]*task
@@ -26,48 +32,69 @@
 	node            int
 	kick            chan struct{}
 	lease           time.Time
+	drift           time.Duration // what the worker's clock gains in 2,000 s
 }
 
 type task struct {
 	try   uint64
 	phase string
 	cause string
+	saved bool
 	began time.Time
+	stop  time.Time // gang: when it was told to stop
 }
 
+// on tells whether a task is on its machine by the rules: from when it has its
+// image until it exits.
 func (t *task) on() bool {
 	return t.phase == protocol.TaskRunning || t.phase == protocol.TaskWaiting || t.phase == protocol.TaskSaving
 }
 
 // AddMachines starts machines that are up at once.
-func (w *World) AddMachines(count int, zone string) {
+func (w *World) AddMachines(count int, zone string) { w.AddKind(count, w.Types[0].Name, zone, false) }
+
+// AddKind starts machines of a kind that are up at once.
+func (w *World) AddKind(count int, typ, zone string, spot bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for range count {
-		w.boot(w.Types[0].Name, zone, false, 0)
+		w.boot(typ, zone, spot, 0)
 	}
 }
 
 func (w *World) boot(typ, zone string, spot bool, after time.Duration) string {
 	w.made++
-	m := &Machine{w: w, host: fmt.Sprintf("vm-%06d", w.made), typ: typ, zone: zone, spot: spot, born: time.Now(), session: 1,
+	m := &Machine{w: w, host: fmt.Sprintf("vm-%06d", w.made), typ: typ, zone: zone, spot: spot, born: time.Now(), up: time.Now().Add(after), session: 1,
 		tasks: make(map[string]*task), images: make(map[string]bool), kick: make(chan struct{}, 1), node: w.made}
+	// Clocks drift apart by as much as 0.05 %.
+	m.drift = time.Duration(w.roll("drift", m.host)%2001)*time.Millisecond - time.Second
 	w.machines[m.host] = m
-	go m.live(after)
+	w.note("%s rented: %s in %s, cheap %v", m.host, typ, zone, spot)
+	go m.live(after + time.Duration(w.made)*17*time.Microsecond)
 	return m.host
 }
 
-// Set changes a machine's condition: "hang", "resume", "cut", "heal", "sick".
+// byClock is how long a duration of the worker's own clock really takes.
+func (m *Machine) byClock(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*m.drift.Seconds()/2000)
+}
+
+// Set changes a machine's condition: hang, resume, cut, heal, sick, slow, well,
+// notice (it will be taken), take (it is taken at once).
 func (w *World) Set(host, what string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m := w.machines[host]
-	if m == nil {
+	if m == nil || m.gone {
 		return
 	}
+	was := *m
 	switch what {
 	case "hang":
-		m.hung = true
+		if !m.hung {
+			m.hung = true
+			m.leaveGangs()
+		}
 	case "resume":
 		m.hung = false
 	case "cut":
@@ -76,8 +103,24 @@
 		m.cutOff = false
 	case "sick":
 		m.sick = true
+	case "slow":
+		m.slow = true
+	case "well":
+		m.sick, m.slow = false, false
+	case "notice":
+		m.warning = time.Now().Add(20 * time.Second)
+		m.poke()
+		// Half the nominal value, or one and a half times it.
+		m.later(w.between(10*time.Second, 30*time.Second, "notice", host), func() { w.note("%s taken", host); w.remove(m) })
+	case "take":
+		w.note("%s taken", host)
+		w.remove(m)
+		return
 	}
-	if (what == "resume" || what == "heal") && !m.gone {
+	if m.hung != was.hung || m.cutOff != was.cutOff || what == "sick" || what == "slow" {
+		w.note("%s: %s", host, what)
+	}
+	if (what == "resume" && was.hung || what == "heal" && was.cutOff) && !m.hung && !m.cutOff {
 		m.expire()
 		for _, late := range w.held[host] {
 			late()
@@ -87,6 +130,19 @@
 	}
 }
 
+// Hosts lists the machines that are rented, those of one zone or kind if asked.
+func (w *World) Hosts(spotOnly bool) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		if m := w.machines[host]; !m.gone && (m.spot || !spotOnly) {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
 func (m *Machine) poke() {
 	select {
 	case m.kick <- struct{}{}:
@@ -94,10 +150,29 @@
 	}
 }
 
-func (m *Machine) kill() { m.tasks = make(map[string]*task) }
+// later does something after a while, unless the machine is gone by then.
+func (m *Machine) later(d time.Duration, do func()) {
+	go func() {
+		if wait(m.w.ctx, d) {
+			m.w.mu.Lock()
+			defer m.w.mu.Unlock()
+			if !m.gone {
+				do()
+			}
+		}
+	}()
+}
+
+func (m *Machine) kill() {
+	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+		t := m.tasks[name]
+		delete(m.tasks, name)
+		m.w.missed(name, t)
+	}
+}
 
 func (m *Machine) expire() {
-	if !m.lease.IsZero() && time.Since(m.lease) > m.w.Workers.Lease {
+	if !m.lease.IsZero() && time.Since(m.lease) > m.byClock(m.w.Workers.Lease) {
 		m.w.note("%s lease over, session %d", m.host, m.session+1)
 		m.kill()
 		m.session++
@@ -110,24 +185,22 @@
 	w := m.w
 	// The runtime may crash on a select over a timer that is due already, in a
 	// test bubble under the race detector; so no such timer is waited on here.
-	if after > 0 {
-		select {
-		case <-time.After(after):
-		case <-w.ctx.Done():
-			return
-		}
+	if after > 0 && !wait(w.ctx, after) {
+		return
 	}
 	w.mu.Lock()
-	m.lease = time.Now()
+	m.lease, m.up = time.Now(), time.Now()
 	w.mu.Unlock()
 	for {
-		wait := m.report()
+		pause := m.byClock(m.report())
 		select {
 		case <-w.ctx.Done():
 			return
 		case <-m.kick:
-			time.Sleep(500 * time.Millisecond)
-		case <-time.After(wait):
+			if !wait(w.ctx, m.byClock(500*time.Millisecond)) {
+				return
+			}
+		case <-time.After(pause):
 		}
 		w.mu.Lock()
 		gone := m.gone
@@ -145,8 +218,13 @@
 	m.seq++
 	r := protocol.Report{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq,
 		Token: m.token, Tasks: []protocol.TaskReport{}}
-	for name, t := range m.tasks {
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: name, Try: t.try, Phase: t.phase, Cause: t.cause})
+	if !m.warning.IsZero() {
+		left := time.Until(m.warning).Seconds()
+		r.WarningS = &left
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+		t := m.tasks[name]
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: name, Try: t.try, Phase: t.phase, Cause: t.cause, Saved: t.saved})
 	}
 	return r
 }
@@ -155,33 +233,49 @@
 func (m *Machine) report() time.Duration {
 	w := m.w
 	w.mu.Lock()
-	if m.gone || m.hung || m.cutOff || len(w.names) == 0 {
+	if m.gone || m.hung || len(w.names) == 0 {
 		w.mu.Unlock()
 		return time.Second
 	}
 	name := w.names[m.node%len(w.names)]
 	h := w.nodes[name]
-	if w.deaf[name] {
+	if w.trouble["deaf "+name] {
 		h = nil
 	}
 	body, _ := json.Marshal(m.account())
-	sent, session := time.Now(), m.session
+	sent, session, tick := time.Now(), m.session, strconv.FormatUint(m.seq, 10)
+	there, back := w.between(300*time.Microsecond, 3*time.Millisecond, m.host, tick), w.between(300*time.Microsecond, 3*time.Millisecond, m.host, tick)
+	if m.cutOff {
+		// The packets are held and may arrive once the cut is over, though nobody
+		// waits for an answer any more.
+		if h != nil && w.chance(50, m.host, tick) {
+			w.held[m.host] = append(w.held[m.host], func() { go h("POST", reportPath, body, func(transport.Response) {}) })
+		}
+		w.mu.Unlock()
+		return 4 * time.Second
+	}
 	w.mu.Unlock()
 	if h == nil {
 		m.node++
 		return time.Second
 	}
+	if !wait(w.ctx, there) {
+		return time.Second
+	}
 	got := make(chan transport.Response, 1)
-	go h("POST", "/v1/report", body, func(r transport.Response) { got <- r })
+	go h("POST", reportPath, body, func(r transport.Response) { got <- r })
 	var r transport.Response
 	select {
 	case r = <-got:
 	case <-time.After(4 * time.Second):
 	case <-w.ctx.Done():
 	}
+	if !wait(w.ctx, back) {
+		return time.Second
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if m.gone || m.hung || m.cutOff || m.session != session {
+	if m.gone || m.hung || m.cutOff || m.session != session || w.trouble["deaf "+name] {
 		return time.Second
 	}
 	switch r.Status {
@@ -195,14 +289,14 @@
 			m.execute(a.Commands)
 		}
 		// Give or take a quarter, as workers do.
-		return w.Workers.Report*3/4 + time.Duration(w.rng.Int64N(int64(w.Workers.Report/2)))
+		return w.between(w.Workers.Report*3/4, w.Workers.Report*5/4, m.host, tick)
 	case 421:
 		var s protocol.Steward
 		_ = json.Unmarshal(r.Body, &s)
 		for i, n := range w.names {
 			if n == s.Node && n != name {
 				m.node = i
-				return 100 * time.Millisecond
+				return w.between(0, 500*time.Millisecond, m.host, tick)
 			}
 		}
 	}
@@ -212,7 +306,7 @@
 
 // toWorker carries a controller's call. Across a cut, or to a hung machine,
 // it is held and executed late, though the caller has long given up.
-func (w *World) toWorker(ctx context.Context, host, method, target string, body []byte) (int, []byte, error) {
+func (w *World) toWorker(ctx context.Context, host, target string, body []byte, back time.Duration) (int, []byte, error) {
 	w.mu.Lock()
 	m := w.machines[host]
 	if m == nil || m.gone || m.cutOff || m.hung {
@@ -223,12 +317,17 @@
 		<-ctx.Done()
 		return 0, nil, errReset
 	}
-	defer w.mu.Unlock()
+	var status int
+	var out []byte
 	if target == protocol.PathShow {
-		status, out := reply(200, m.account())
-		return status, out, nil
+		status, out = reply(200, m.account())
+	} else {
+		status, out = m.commands(body)
+	}
+	w.mu.Unlock()
+	if !wait(ctx, back) {
+		return 0, nil, errReset
 	}
-	status, out := m.commands(body)
 	return status, out, nil
 }
 
@@ -253,12 +352,15 @@
 		t := m.tasks[c.Task]
 		switch c.Verb {
 		case "start":
-			if t == nil || (t.try != c.Try && t.phase == protocol.TaskExited) {
+			switch {
+			case t == nil || (t.try != c.Try && t.phase == protocol.TaskExited):
 				m.start(c.Task, c.Try)
+			case t.try != c.Try:
+				m.w.note("%s %s/%d refused: busy with attempt %d", m.host, c.Task, c.Try, t.try)
 			}
 		case "stop":
 			if t != nil && t.try == c.Try && t.phase != protocol.TaskExited {
-				m.exit(c.Task, t, "halted")
+				m.stop(c.Task, t, c.Grace)
 			}
 		case "reap":
 			if t != nil && t.try == c.Try && t.phase == protocol.TaskExited {
@@ -268,30 +370,114 @@
 	}
 }
 
+// stop ends a task. One that runs and can save does so if its grace suffices; a
+// gang's saves only if all of its tasks are told in time.
+func (m *Machine) stop(name string, t *task, grace *float64) {
+	ref, _, _ := protocol.SplitTask(name)
+	j := m.w.jobs[ref]
+	saves := t.phase == protocol.TaskRunning && j != nil && j.Spec.SnapshotEveryS > 0 && grace != nil && *grace >= j.Spec.SnapshotS
+	if !saves {
+		m.exit(name, t, "halted")
+		return
+	}
+	t.phase, t.stop = protocol.TaskSaving, time.Now()
+	m.poke()
+	m.after(name, t, j.Spec.Snapshot(), func() {
+		if t.saved = j.Spec.Shape != protocol.Gang || m.w.allSaving(ref, t.try, j); t.saved {
+			m.exit(name, t, "halted")
+		} else {
+			m.exit(name, t, causePeers)
+		}
+	})
+}
+
+const (
+	causePeers = "peers"
+	reportPath = "/v1/report"
+)
+
+// allSaving tells whether every task of a gang's attempt was told to stop.
+func (w *World) allSaving(ref string, try uint64, j *Job) bool {
+	told := 0
+	for _, o := range w.machines {
+		for name, t := range o.tasks {
+			if r, _, _ := protocol.SplitTask(name); r == ref && t.try == try && (t.phase == protocol.TaskSaving || t.saved) && !o.gone {
+				told++
+			}
+		}
+	}
+	return told == j.Spec.Tasks
+}
+
 func (m *Machine) exit(name string, t *task, cause string) {
+	was := *t
 	t.phase, t.cause = protocol.TaskExited, cause
 	m.w.note("%s %s/%d exits: %s", m.host, name, t.try, cause)
 	m.poke()
+	if cause != protocol.CauseDone && cause != causePeers {
+		m.w.missed(name, &was)
+	}
+}
+
+// missed has the others of a running gang notice that one of them is gone.
+func (w *World) missed(name string, t *task) {
+	ref, _, ok := protocol.SplitTask(name)
+	j := w.jobs[ref]
+	if !ok || j == nil || j.Spec.Shape != protocol.Gang || t.phase != protocol.TaskRunning {
+		return
+	}
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		m := w.machines[host]
+		for _, other := range slices.Sorted(maps.Keys(m.tasks)) {
+			x := m.tasks[other]
+			if r, _, _ := protocol.SplitTask(other); r == ref && x.try == t.try && x != t && x.phase == protocol.TaskRunning {
+				m.after(other, x, w.between(w.Workers.GangPeer/2, w.Workers.GangPeer, other, m.host), func() {
+					if x.phase == protocol.TaskRunning {
+						m.exit(other, x, causePeers)
+					}
+				})
+			}
+		}
+	}
+}
+
+// leaveGangs has gangs notice that the machine hangs; once it goes on, its own
+// tasks of theirs notice it too.
+func (m *Machine) leaveGangs() {
+	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+		t := m.tasks[name]
+		ref, _, _ := protocol.SplitTask(name)
+		if j := m.w.jobs[ref]; j == nil || j.Spec.Shape != protocol.Gang || j.Spec.Tasks < 2 || t.phase != protocol.TaskRunning {
+			continue
+		}
+		m.w.missed(name, t)
+		m.after(name, t, m.w.Workers.GangPeer, func() {
+			if t.phase == protocol.TaskRunning {
+				m.exit(name, t, causePeers)
+			}
+		})
+	}
 }
 
 func (m *Machine) start(name string, try uint64) {
 	w := m.w
-	ref, _, _ := protocol.SplitTask(name)
+	ref, num, _ := protocol.SplitTask(name)
 	t := &task{try: try, phase: protocol.TaskFetching}
 	m.tasks[name] = t
 	j := w.jobs[ref]
-	if j == nil {
+	if j == nil || num >= j.Spec.Tasks {
 		m.exit(name, t, protocol.CauseNoSuch)
 		return
 	}
-	used := 0.0
+	var used [3]float64
 	for other, o := range m.tasks {
 		r, _, _ := protocol.SplitTask(other)
-		if o != t && o.phase != protocol.TaskExited && w.jobs[r] != nil {
-			used += w.jobs[r].Spec.CPUs
+		if x := w.jobs[r]; o.phase != protocol.TaskExited && x != nil {
+			used = [3]float64{used[0] + x.Spec.CPUs, used[1] + x.Spec.GPUs, used[2] + x.Spec.MemGB}
 		}
 	}
-	if used+j.Spec.CPUs > w.Types[0].CPUs+1e-6 {
+	typ := w.typeOf(m.typ)
+	if used[0] > typ.CPUs+1e-6 || used[1] > typ.GPUs+1e-6 || used[2] > typ.MemGB+1e-6 {
 		m.exit(name, t, protocol.CauseNoRoom)
 		return
 	}
@@ -302,13 +488,22 @@
 	m.after(name, t, fetch, func() { m.begin(name, t, j) })
 }
 
-// after does something to a task later, if it is still there by then.
+func (w *World) typeOf(name string) protocol.MachineType {
+	for _, t := range w.Types {
+		if t.Name == name {
+			return t
+		}
+	}
+	return protocol.MachineType{}
+}
+
+// after does something to a task later, if it is still there by then. A hanging
+// machine does nothing until it goes on.
 func (m *Machine) after(name string, t *task, d time.Duration, do func()) {
 	w, session := m.w, m.session
+	d = m.byClock(d) + w.between(0, time.Millisecond, "after", m.host, name)
 	go func() {
-		select {
-		case <-time.After(d):
-		case <-w.ctx.Done():
+		if !wait(w.ctx, d) {
 			return
 		}
 		w.mu.Lock()
@@ -327,32 +522,7 @@
 func (m *Machine) begin(name string, t *task, j *Job) {
 	w := m.w
 	m.images[j.Spec.Image] = true
-	inZone := 1
-	for _, o := range w.machines {
-		if o.gone {
-			continue
-		}
-		for other, x := range o.tasks {
-			ref, _, _ := protocol.SplitTask(other)
-			if ref != j.Spec.Ref || !x.on() {
-				continue
-			}
-			if other == name && x != t {
-				w.breakRule("ran_twice", "%s on %s and %s", name, o.host, m.host)
-			}
-			if o.zone == m.zone {
-				inZone++
-			} else if j.Spec.SameZone {
-				w.breakRule("wrong_place", "%s in %s and %s", ref, o.zone, m.zone)
-			}
-		}
-	}
-	if j.Spec.Spread && inZone > (j.Spec.Tasks+1)/2 {
-		w.breakRule("wrong_place", "%s has %d tasks in %s", j.Spec.Ref, inZone, m.zone)
-	}
-	if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
-		w.breakRule("ran_cancelled", "%s starts on %s", name, m.host)
-	}
+	w.checkStart(m, name, t, j)
 	t.phase, t.began = protocol.TaskRunning, time.Now()
 	w.note("%s %s/%d runs", m.host, name, t.try)
 	m.poke()
@@ -372,7 +542,14 @@
 		return
 	}
 	if j.Run > 0 {
-		m.after(name, t, j.Run, func() {
+		run := j.Run
+		if m.slow {
+			run *= 4
+		}
+		m.after(name, t, run, func() {
+			if t.phase != protocol.TaskRunning {
+				return // it is being stopped
+			}
 			if j.Spec.Shape == protocol.Gang {
 				w.finishGang(j, t.try)
 				return
@@ -384,6 +561,41 @@
 	}
 }
 
+// checkStart judges a start by the rules.
+func (w *World) checkStart(m *Machine, name string, t *task, j *Job) {
+	s := &j.Spec
+	inZone := 1
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		o := w.machines[host]
+		if o.gone {
+			continue
+		}
+		for other, x := range o.tasks {
+			ref, _, _ := protocol.SplitTask(other)
+			if ref != s.Ref || !x.on() {
+				continue
+			}
+			if other == name && x != t {
+				w.breakRule("ran_twice", "%s on %s and %s", name, o.host, m.host)
+			}
+			if o.zone == m.zone {
+				inZone++
+			} else if s.SameZone {
+				w.breakRule("wrong_place", "%s in %s and %s", ref, o.zone, m.zone)
+			}
+		}
+	}
+	if s.Spread && inZone > (s.Tasks+1)/2 {
+		w.breakRule("wrong_place", "%s has %d tasks in %s", s.Ref, inZone, m.zone)
+	}
+	if (len(s.Types) > 0 && !slices.Contains(s.Types, m.typ)) || (s.Zone != "" && s.Zone != m.zone) || (m.spot && !s.Spot) {
+		w.breakRule("wrong_place", "%s on %s: %s in %s, cheap %v", s.Ref, m.host, m.typ, m.zone, m.spot)
+	}
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
+		w.breakRule("ran_cancelled", "%s starts on %s", name, m.host)
+	}
+}
+
 // assemble starts a gang's attempt if all of its tasks wait for one another.
 func (w *World) assemble(j *Job, try uint64) bool {
 	var there []*task
@@ -408,11 +620,24 @@
 
 // finishGang ends a gang's attempt: its tasks complete together.
 func (w *World) finishGang(j *Job, try uint64) {
+	running := 0
+	for _, m := range w.machines {
+		for name, t := range m.tasks {
+			if ref, _, _ := protocol.SplitTask(name); ref == j.Spec.Ref && t.try == try && t.phase == protocol.TaskRunning && !m.gone && !m.hung {
+				running++
+			}
+		}
+	}
+	if running < j.Spec.Tasks {
+		return // one is gone, and the others are about to notice
+	}
 	for k := range j.Spec.Tasks {
 		j.done[k] = true
 	}
-	for _, m := range w.machines {
-		for name, t := range m.tasks {
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		m := w.machines[host]
+		for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+			t := m.tasks[name]
 			if ref, _, _ := protocol.SplitTask(name); ref == j.Spec.Ref && t.try == try && t.on() && !m.gone {
 				m.exit(name, t, protocol.CauseDone)
 			}
@@ -427,7 +652,7 @@
 	count := 0
 	for _, m := range w.machines {
 		for name, t := range m.tasks {
-			if r, _, _ := protocol.SplitTask(name); r == ref && !m.gone && t.on() {
+			if r, _, _ := protocol.SplitTask(name); (r == ref || ref == "") && !m.gone && t.on() {
 				count++
 			}
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
+	"encoding/binary"
 	"errors"
 	"fmt"
-	"math/rand/v2"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"madderslip/internal/protocol"
 	"madderslip/internal/transport"
 )
@@ -18,39 +20,29 @@
 // NodeHandler is a controller's public face.
 type NodeHandler func(method, target string, body []byte, reply func(transport.Response))
 
-// Job is a job as the world knows it: what was submitted and how its tasks
-// really run.
-type Job struct {
-	Spec      protocol.Submission
-	Run       time.Duration // 0 for a service
-	Fail      bool          // every task fails
-	Fetch     time.Duration // of its image, if longer than usual
-	accepted  bool
-	told      string // the latest phase a user was told
-	cancelled time.Time
-	wanted    bool // its user asked to cancel it
-	done      map[int]bool
-}
-
-// World is everything outside the controllers.
+// World is everything outside the controllers. What it does depends on its
+// seed and on what it is told alone: every delay is drawn from the seed and the
+// message it delays, never from the order in which goroutines happen to run.
 type World struct {
 	State   *State
 	Workers protocol.WorkerSettings
 	Teams   map[string]protocol.Team
+	Lag     time.Duration // of the cloud's list
 
 	mu       sync.Mutex
 	ctx      context.Context
-	rng      *rand.Rand
+	seed     uint64
+	rolls    map[uint64]uint64
 	nodes    map[string]NodeHandler
 	names    []string
-	refused  map[string]bool // nodes that the state service alone refuses
-	deaf     map[string]bool // nodes that reach no worker
+	trouble  map[string]bool // by name, see Trouble
 	machines map[string]*Machine
 	made     int
 	hires    map[string][]string
 	jobs     map[string]*Job
+	aborted  map[string]bool // jobs that their users asked to cancel
 	broken   []string
-	held     map[string][]func() // late commands, by host
+	held     map[string][]func() // late messages, by host
 	events   []string
 	began    time.Time
 	Types    []protocol.MachineType
@@ -59,9 +51,9 @@
 
 // NewWorld makes an empty world.
 func NewWorld(ctx context.Context, seed uint64, w protocol.WorkerSettings, teams map[string]protocol.Team) *World {
-	world := &World{State: newState(), Workers: w, Teams: teams, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 7)),
-		nodes: make(map[string]NodeHandler), refused: make(map[string]bool), deaf: make(map[string]bool),
-		machines: make(map[string]*Machine), hires: make(map[string][]string), jobs: make(map[string]*Job),
+	world := &World{State: newState(), Workers: w, Teams: teams, ctx: ctx, seed: seed, rolls: make(map[uint64]uint64),
+		nodes: make(map[string]NodeHandler), trouble: make(map[string]bool),
+		machines: make(map[string]*Machine), hires: make(map[string][]string), jobs: make(map[string]*Job), aborted: make(map[string]bool),
 		held: make(map[string][]func()), began: time.Now(),
 		Types: []protocol.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 50, PullGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}}
 	go world.State.run(ctx)
@@ -69,14 +61,45 @@
 	return world
 }
 
+// roll draws a number for something that happens, told by its parts: the same
+// for the same seed, the next one for each repetition.
+func (w *World) roll(parts ...string) uint64 {
+	d := xxhash.NewWithSeed(w.seed)
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	key := d.Sum64()
+	w.rolls[key]++
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, key), w.rolls[key]))
+}
+
+// between draws a duration. Down to the nanosecond, so that hardly two things
+// happen at the same instant, whose order nobody could repeat.
+func (w *World) between(low, high time.Duration, parts ...string) time.Duration {
+	return low + time.Duration(w.roll(parts...)%uint64(high-low))
+}
+
+// chance draws a yes with so many percent.
+func (w *World) chance(percent uint64, parts ...string) bool { return w.roll(parts...)%100 < percent }
+
 func (w *World) note(format string, a ...any) {
-	w.events = append(w.events, fmt.Sprintf("%7.2f %s", time.Since(w.began).Seconds(), fmt.Sprintf(format, a...)))
+	w.events = append(w.events, fmt.Sprintf("%8.3f %s", time.Since(w.began).Seconds(), fmt.Sprintf(format, a...)))
+}
+
+// Note writes a line among the events.
+func (w *World) Note(format string, a ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note(format, a...)
 }
 
 func (w *World) breakRule(rule, format string, a ...any) {
 	text := rule + ": " + fmt.Sprintf(format, a...)
 	w.note("BROKEN %s", text)
-	w.broken = append(w.broken, text)
+	if len(w.broken) < 100 {
+		w.broken = append(w.broken, text)
+	}
 }
 
 // Broken lists the rules that were broken.
@@ -106,14 +129,43 @@
 	}
 }
 
-// Outage begins or ends an outage of the state service.
-func (w *World) Outage(on bool) { w.State.setDown(on) }
-
-// Refuse makes the state service refuse one node alone.
-func (w *World) Refuse(node string, on bool) { w.mu.Lock(); w.refused[node] = on; w.mu.Unlock() }
+// Trouble begins or ends a trouble that has no host:
+//
+//	outage         the state service is down
+//	slow           the state service takes up to 2.5 s for an answer
+//	lossy          its answers get lost, and transactions are applied late or twice
+//	refuse NODE    the state service refuses one node alone
+//	deaf NODE      a node reaches no worker and hears none
+//	alone NODE     the other controllers reach a node as little as it reaches them
+//	cloud          the cloud is in trouble and answers 503
+//	stingy         the cloud has no machines
+//	half           the cloud gives half of the machines asked for
+//	lost           answers of the cloud get lost, and some requests are carried out late
+func (w *World) Trouble(name string, on bool) {
+	w.mu.Lock()
+	w.trouble[name] = on
+	w.note("%s %v", name, on)
+	w.mu.Unlock()
+	if name == "outage" {
+		w.State.setDown(on)
+	}
+}
 
-// Deafen cuts a node off from the workers in both directions.
-func (w *World) Deafen(node string, on bool) { w.mu.Lock(); w.deaf[node] = on; w.mu.Unlock() }
+// Calm ends all troubles.
+func (w *World) Calm() {
+	w.mu.Lock()
+	troubles := slices.Sorted(maps.Keys(w.trouble))
+	hosts := slices.Sorted(maps.Keys(w.machines))
+	w.mu.Unlock()
+	for _, name := range troubles {
+		w.Trouble(name, false)
+	}
+	for _, host := range hosts {
+		for _, what := range []string{"resume", "heal", "well"} {
+			w.Set(host, what)
+		}
+	}
+}
 
 // Link is a controller's network.
 type Link struct {
@@ -124,208 +176,104 @@
 
 var errReset = errors.New("connection reset")
 
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // Do makes a call from the controller.
 func (l Link) Do(ctx context.Context, addr, method, target string, body []byte) (int, []byte, error) {
 	w := l.W
+	ctx, cancel := context.WithCancel(ctx)
+	defer context.AfterFunc(l.Ctx, cancel)()
+	defer cancel()
+	what := []string{l.Node, addr, target, string(body)}
 	w.mu.Lock()
-	delay := time.Duration(1+w.rng.IntN(4)) * time.Millisecond
-	refused, deaf := w.refused[l.Node], w.deaf[l.Node]
+	there, back := w.between(300*time.Microsecond, 3*time.Millisecond, what...), w.between(300*time.Microsecond, 3*time.Millisecond, what...)
+	refused, deaf := w.trouble["refuse "+l.Node], w.trouble["deaf "+l.Node]
+	if addr == "state" && w.trouble["slow"] {
+		there += w.between(0, 2500*time.Millisecond, what...)
+	}
+	fate := w.fateOf(addr, target, what)
+	later := w.between(time.Second, 40*time.Second, what...)
 	w.mu.Unlock()
-	time.Sleep(delay)
-	if l.Ctx.Err() != nil {
+	if !wait(ctx, there) {
 		return 0, nil, errReset
 	}
-	var status int
-	var out []byte
+	var do func(context.Context) (int, []byte)
 	switch {
 	case addr == "state" && refused:
-		status = 503
+		do = func(context.Context) (int, []byte) { return 503, nil }
 	case addr == "state":
-		status, out = w.State.do(ctx, method, target, body)
+		do = func(ctx context.Context) (int, []byte) { return w.State.do(ctx, method, target, body) }
 	case addr == "cloud":
-		status, out = w.cloud(method, target, body)
+		do = func(context.Context) (int, []byte) { return w.cloud(method, target, body) }
 	case deaf:
 		<-ctx.Done()
 		return 0, nil, fmt.Errorf("%w: no route", transport.ErrNotSent)
 	default:
-		return w.toWorker(ctx, strings.TrimSuffix(addr, ":9000"), method, target, body)
+		return w.toWorker(ctx, strings.TrimSuffix(addr, ":9000"), target, body, back)
 	}
-	if status == 0 || ctx.Err() != nil || l.Ctx.Err() != nil {
-		return 0, nil, errReset
-	}
-	return status, out, nil
-}
-
-func (w *World) cloud(method, target string, body []byte) (int, []byte) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	switch {
-	case target == "/machine_types":
-		return reply(200, protocol.MachineTypes{Types: w.Types})
-	case target == "/machines" && method == "POST":
-		var h protocol.Hire
-		if json.Unmarshal(body, &h) != nil {
-			return 400, nil
-		}
-		hosts, again := w.hires[h.Name]
-		if !again {
-			for range min(h.Count, w.Spare) {
-				w.Spare--
-				hosts = append(hosts, w.boot(h.Type, h.Zone, h.Spot, 10*time.Second))
-			}
-			if len(hosts) == 0 {
-				return reply(503, map[string]string{"error": "no capacity"})
+	if fate == late || fate == twice {
+		go func() {
+			if wait(w.ctx, later) {
+				_, _ = do(w.ctx)
 			}
-			w.hires[h.Name] = hosts
-		}
-		return reply(200, protocol.HostNames{Hosts: hosts})
-	case target == "/machines/return":
-		var h protocol.HostNames
-		if json.Unmarshal(body, &h) != nil {
-			return 400, nil
-		}
-		for _, host := range h.Hosts {
-			if m := w.machines[host]; m != nil && !m.gone {
-				w.note("%s returned", host)
-				m.gone = true
-				m.kill()
-				delete(w.held, host)
-				w.Spare++
-			}
-		}
-		return reply(200, map[string]any{})
+		}()
 	}
-	var list protocol.MachineList
-	for _, m := range w.machines {
-		if !m.gone {
-			list.Hosts = append(list.Hosts, protocol.ListedMachine{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Phase: "running",
-				HeldS: time.Since(m.born).Seconds()})
-		}
+	var status int
+	var out []byte
+	if fate != late {
+		status, out = do(ctx)
 	}
-	return reply(200, list)
-}
-
-// Submit sends a job to a node and waits for the answer.
-func (w *World) Submit(node string, j *Job) int {
-	w.mu.Lock()
-	if old := w.jobs[j.Spec.Ref]; old != nil {
-		j = old
-	} else {
-		j.done = make(map[int]bool)
-		w.jobs[j.Spec.Ref] = j
+	if fate == late || fate == lost {
+		<-ctx.Done()
 	}
-	w.mu.Unlock()
-	body, _ := json.Marshal(j.Spec)
-	status, raw := w.Ask(node, "POST", "/submissions", body, 5*time.Second)
-	w.told(j.Spec.Ref, status, raw, status == 200 || status == 201)
-	return status
-}
-
-// Abort asks a node to cancel a job.
-func (w *World) Abort(node, ref string) int {
-	w.mu.Lock()
-	if j := w.jobs[ref]; j != nil {
-		j.wanted = true
+	if status == 0 || !wait(ctx, back) {
+		return 0, nil, errReset
 	}
-	w.mu.Unlock()
-	status, raw := w.Ask(node, "POST", "/submissions/"+ref+"/abort", nil, 5*time.Second)
-	w.told(ref, status, raw, false)
-	return status
+	return status, out, nil
 }
 
-// Query asks a node for a job; phase is empty without an answer.
-func (w *World) Query(node, ref string) (status int, a protocol.JobAnswer) {
-	status, raw := w.Ask(node, "GET", "/submissions/"+ref, nil, 2*time.Second)
-	w.told(ref, status, raw, false)
-	_ = json.Unmarshal(raw, &a)
-	return status, a
-}
+// fates of a call under loss.
+const (
+	fine = iota
+	lost // carried out, but the answer is lost
+	late // carried out long after the caller has given up
+	twice
+)
 
-// Ask makes a user's request.
-func (w *World) Ask(node, method, target string, body []byte, timeout time.Duration) (int, []byte) {
-	w.mu.Lock()
-	h := w.nodes[node]
-	w.mu.Unlock()
-	if h == nil {
-		return 0, nil
+func (w *World) fateOf(addr, target string, what []string) int {
+	lossy := addr == "state" && target == protocol.PathMulti && w.trouble["lossy"]
+	if !lossy && (addr != "cloud" || !w.trouble["lost"] || strings.HasPrefix(target, protocol.PathMachines+"?")) {
+		return fine
 	}
-	got := make(chan transport.Response, 1)
-	go h(method, target, body, func(r transport.Response) { got <- r })
-	select {
-	case r := <-got:
-		return r.Status, r.Body
-	case <-time.After(timeout):
-		return 0, nil
-	case <-w.ctx.Done():
-		return 0, nil
+	switch p := w.roll(what...) % 100; {
+	case p < 12:
+		return lost
+	case p < 22:
+		return late
+	case p < 30:
+		return twice
 	}
+	return fine
 }
 
-// told checks an answer against what users were told before.
-func (w *World) told(ref string, status int, raw []byte, accepted bool) {
+// Peer carries a message between controllers, if their links are up.
+func (w *World) Peer(ctx context.Context, from, to string, raw []byte, deliver func(context.Context, []byte) error) error {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	j := w.jobs[ref]
-	if j == nil {
-		if status == 200 {
-			w.breakRule("invented", "%s", ref)
-		}
-		return
-	}
-	if accepted {
-		j.accepted = true
-	}
-	if status == 404 && j.accepted || (status == 400 || status == 422) && j.accepted {
-		w.breakRule("forgotten", "%s got %d", ref, status)
-	}
-	var a protocol.JobAnswer
-	if (status != 200 && status != 201) || json.Unmarshal(raw, &a) != nil {
-		return
-	}
-	final := func(p string) bool { return p == protocol.Done || p == protocol.Cancelled }
-	if final(j.told) && a.Phase != j.told {
-		w.breakRule("went_back", "%s was %s, is %s", ref, j.told, a.Phase)
-	}
-	if a.Phase == protocol.Cancelled && !j.wanted {
-		w.breakRule("went_back", "%s cancelled by nobody", ref)
-	}
-	if a.Phase == protocol.Done && len(j.done) < j.Spec.Tasks {
-		w.breakRule("not_done", "%s has %d of %d", ref, len(j.done), j.Spec.Tasks)
-	}
-	if a.Phase == protocol.Cancelled && j.cancelled.IsZero() {
-		j.cancelled = time.Now()
+	refused := w.trouble["alone "+from] || w.trouble["alone "+to]
+	delay := w.between(300*time.Microsecond, 3*time.Millisecond, from, to, string(raw))
+	w.mu.Unlock()
+	if refused {
+		return fmt.Errorf("%s refuses", to)
 	}
-	j.told = a.Phase
-}
-
-// check looks for cancelled tasks that stay, and for teams beyond their limit.
-func (w *World) check() {
-	for {
-		select {
-		case <-w.ctx.Done():
-			return
-		case <-time.After(500 * time.Millisecond):
-		}
-		w.mu.Lock()
-		use := make(map[string]float64)
-		for _, m := range w.machines {
-			for name, t := range m.tasks {
-				ref, _, _ := protocol.SplitTask(name)
-				j := w.jobs[ref]
-				if m.gone || j == nil || !t.on() {
-					continue
-				}
-				use[j.Spec.Team] += j.Spec.CPUs
-				if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
-					w.breakRule("ran_cancelled", "%s on %s", name, m.host)
-				}
-			}
-		}
-		for team, cpus := range use {
-			if limit := w.Teams[team].CPUsMax; limit > 0 && cpus > limit+1e-6 {
-				w.breakRule("quota", "%s uses %v of %v", team, cpus, limit)
-			}
-		}
-		w.mu.Unlock()
+	if !wait(ctx, delay) {
+		return ctx.Err()
 	}
+	return deliver(ctx, raw)
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -110,6 +110,10 @@
 			return 0, nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
+	// A deadline alone would hold a caller whose context is cancelled: a watch
+	// waits for many seconds.
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	if _, err := conn.Write(AppendRequest(nil, method, target, addr, body)); err != nil {
 		return 0, nil, fmt.Errorf("write: %w", err)
 	}
@@ -121,7 +125,8 @@
 	if err != nil {
 		return 0, nil, fmt.Errorf("status: %w", err)
 	}
-	if !m.Close && conn.SetDeadline(time.Time{}) == nil {
+	// Not kept when the context has just ended: its deadline may yet be set.
+	if stop() && !m.Close && conn.SetDeadline(time.Time{}) == nil {
 		keep = true
 	}
 	return status, m.Body, nil
--- a/madderslip.go
+++ b/madderslip.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"madderslip/internal/coordination"
@@ -101,18 +102,22 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go func() {
+	// An embedding program may open the same addresses again once Run returns,
+	// so that waits for all that it started.
+	var wg sync.WaitGroup
+	wg.Go(func() {
 		if err := ps.Run(ctx); err != nil && ctx.Err() == nil {
 			cancel(fmt.Errorf("peer server: %w", err))
 		}
-	}()
-	go c.led.Run(ctx)
-	go func() {
+	})
+	wg.Go(func() { c.led.Run(ctx) })
+	wg.Go(func() {
 		if err := c.pub.Run(ctx, nil); err != nil {
 			cancel(fmt.Errorf("public server: %w", err))
 		}
-	}()
+	})
 	c.node.Run(ctx)
+	wg.Wait()
 	for _, p := range c.peers {
 		_ = p.Close()
 	}
