--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -661,7 +661,7 @@
 			if t == nil || m.sick || m.returning || !m.warned.IsZero() {
 				continue
 			}
-			r := &room{host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t, shard: m.rec.Shard}
+			r := &room{m: m, host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t, shard: m.rec.Shard}
 			r.cpus, r.gpus, r.mem = n.free(m)
 			out = append(out, r)
 		}
@@ -737,6 +737,7 @@
 		warm := int(math.Ceil(float64(services)*n.pol.WarmShare)) + 2
 		like := *service
 		like.SameZone, like.Spread, like.Zone = false, false, ""
+		like.Spot = false // idle cheap machines are not kept as warm room, so they would come and go for ever
 		zones := n.cfg.Zones
 		for i, zone := range zones {
 			part := warm / len(zones)
@@ -796,13 +797,25 @@
 }
 
 // stranded tells that no machine, there or coming, could ever run a task of an
-// array's. The budget counts room of every shard and kind alike, so that arrays
+// array's: none is of a kind that may, or replicas, which do not end, leave too
+// little of it. The budget counts room of every shard and kind alike, so that arrays
 // which only some of it can take, those with cards or with their chunk in a
 // shard that has lost its machines, would wait for ever beside it.
 func (n *Node) stranded(w want, supply []*room) bool {
 	zones := newZoneRule(w.spec, w.taken)
 	return !slices.ContainsFunc(supply, func(r *room) bool {
-		return canEver(w.spec, r.total) && allowed(w.spec, r.typ, r.zone, r.spot) && zones.permits(r.zone) && (w.shard == "" || r.shard == "" || w.shard == r.shard)
+		if !allowed(w.spec, r.typ, r.zone, r.spot) || !zones.permits(r.zone) || (w.shard != "" && r.shard != "" && w.shard != r.shard) {
+			return false
+		}
+		empty := room{cpus: r.total.CPUs, gpus: r.total.GPUs, mem: r.total.MemGB}
+		if r.m != nil {
+			for _, p := range r.m.use.places {
+				if p.c.spec != nil && p.c.spec.Shape == protocol.Service {
+					empty.take(p.c.spec)
+				}
+			}
+		}
+		return empty.fits(w.spec)
 	})
 }
 
--- a/internal/schedule/generate.go
+++ b/internal/schedule/generate.go
@@ -98,9 +98,15 @@
 	d.jobs++
 	ref := fmt.Sprintf("wk-%d", d.jobs)
 	f := []string{ref}
+	limited := false
 	switch d.pick("shape", "array", "array", "array", "gang", "service", "service") {
 	case "array":
-		f = append(f, "array", fmt.Sprintf("tasks=%d run=%d", d.number("tasks", 1, 40), d.number("run", 1, 20)))
+		team := d.pick("team", "", "", "", "team=tight", "team=tight", "team=lent", "team=cards cards=1")
+		tasks, run := d.number("tasks", 1, 40), d.number("run", 1, 20)
+		if limited = team != ""; limited {
+			tasks, run = d.number("few tasks", 1, 12), d.number("short", 1, 8) // or its limit alone keeps it from an end
+		}
+		f = append(f, strings.TrimSpace(fmt.Sprintf("array tasks=%d run=%d %s", tasks, run, team)))
 		f = d.maybe(f, 25, "saves=%d", 2, 6)
 		f = d.maybe(f, 20, "due=%d", 10, 90)
 	case "gang":
@@ -111,21 +117,6 @@
 		f = append(f, "service", fmt.Sprintf("tasks=%d", d.number("tasks", 1, 6)))
 		f = d.maybe(f, 30, "spread", 0, 0)
 	}
-	limited := false
-	switch d.number("team", 1, 10) {
-	case 1, 2, 3:
-		if f[1] == "array" {
-			f, limited = append(f, "team=tight"), true
-		}
-	case 4:
-		if f[1] == "array" {
-			f, limited = append(f, "team=lent"), true
-		}
-	case 5:
-		if f[1] == "array" {
-			f, limited = append(f, "team=cards cards=1"), true
-		}
-	}
 	if !slices.Contains(f, "spread") && !slices.Contains(f, "samezone") && !limited && d.yes(15, "one zone") {
 		f = append(f, "zone="+d.pick("zone", "a", "b"))
 	}
@@ -258,7 +249,7 @@
 		// and takeovers between.
 		for range d.number("arrays", 2, 3) {
 			d.jobs++
-			d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d array tasks=%d run=%d team=tight", d.node(), d.jobs, d.number("tasks", 4, 20), d.number("run", 2, 10))
+			d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d array tasks=%d run=%d team=tight", d.node(), d.jobs, d.number("tasks", 4, 12), d.number("run", 2, 8))
 		}
 		d.trouble(d.pick("loss", "lossy", "outage", "slow", "refuse n0"), soon())
 		if d.yes(50, "one ends") {
