--- /dev/null
+++ b/internal/coordination/cancel.go
@@ -0,0 +1,108 @@
+package coordination
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// The rules allow no task beyond cancel_s after its user was told that the job
+// is cancelled, whatever holds the stop back. A machine that keeps one is fenced:
+//
+//   - at once if it has been silent and did not answer when asked, for its stop
+//     cannot arrive, and whatever else fails soon would keep it;
+//   - after two fifths of cancel_s in any case;
+//   - after half of it without a record, if the state service does not take one.
+//
+// The times count from the record of the cancellation, so they go on through
+// restarts. They do not wait for settling, which leaves a claim alone while a
+// version of it is being committed, and in an outage that is all along.
+
+// enforceCancels looks at the machines that may keep tasks of cancelled jobs.
+func (n *Node) enforceCancels(now time.Time) {
+	var bare []string // to be returned without a record
+	for _, ref := range slices.Sorted(maps.Keys(n.cancelled)) {
+		j := n.cancelled[ref]
+		for _, chunk := range slices.Sorted(maps.Keys(j.claims)) {
+			c := j.claims[chunk]
+			for _, p := range c.on {
+				if m := p.at.m; m != nil && n.active(n.shards[m.rec.Shard]) && n.keeps(m, p) {
+					if n.enforceCancel(j, m, now) && !slices.Contains(bare, m.host) {
+						bare = append(bare, m.host)
+					}
+				}
+			}
+		}
+	}
+	if len(bare) > 0 && !n.fleet.bareBusy {
+		slices.Sort(bare)
+		bare = bare[:min(len(bare), maxReturn)]
+		n.log.Info("returning machines without a record, the state service takes none", "hosts", bare)
+		n.fleet.bareBusy = true
+		go n.returnBare(n.ctx, bare)
+	}
+}
+
+// keeps tells whether a placement's task is, or may yet be, on its machine.
+func (n *Node) keeps(m *machine, p *place) bool {
+	if m.gone {
+		return false
+	}
+	t := m.tasks[p.name]
+	if t != nil && t.Try == p.try {
+		return t.Phase != protocol.TaskExited
+	}
+	return !m.settled(n.shards[m.rec.Shard]) || m.outstanding(p.name, p.try)
+}
+
+// enforceCancel has a machine fenced if it is time, and tells whether that must
+// not wait for a record any longer.
+func (n *Node) enforceCancel(j *job, m *machine, now time.Time) bool {
+	age, limit := now.Sub(j.ended), n.cfg.Workers.Cancel
+	silent := m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard)
+	if age <= limit*2/5 && !silent {
+		return false
+	}
+	if m.rec.State == "" && !m.returning {
+		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref, "after", age, "silent", silent)
+		n.returnMachine(n.shards[m.rec.Shard], m)
+	}
+	return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now)
+}
+
+// refusedAlone tells that other controllers have just heard from the state
+// service and this one has not: its shards' next owner does what is needed, with
+// a record.
+func (n *Node) refusedAlone(now time.Time) bool {
+	if now.Sub(n.led.LastOK()) < 4*time.Second {
+		return false
+	}
+	for _, at := range n.stateOKAt {
+		if now.Sub(at) < 3*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// returnBare returns machines whose return could not be recorded. Their 200
+// proves them gone as any other does. What a return does that is carried out
+// late, twice, or by a node that owns the shard no longer: it takes away a
+// machine that kept a cancelled task when it was sent, with whatever was placed
+// there since. To its owner that is a machine lost without notice, found and
+// proved as such; no task is taken for gone by it, and no name is used again.
+func (n *Node) returnBare(ctx context.Context, hosts []string) {
+	status, err := n.askReturn(ctx, hosts)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.bareBusy = false
+	if err == nil && status == 200 {
+		for _, host := range hosts {
+			n.provedGone(n.machines[host])
+		}
+	}
+	n.log.Info("machines returned without a record", "hosts", hosts, "status", status, "err", err)
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -22,6 +22,7 @@
 	listed     time.Time
 	typesAt    time.Time
 	returnBusy bool
+	bareBusy   bool // machines are being returned without a record
 }
 
 // cloudLoop keeps machine types and the machine list up to date, and carries
@@ -112,7 +113,7 @@
 		case m.gone:
 			m.returnNext = now.Add(5 * time.Second)
 			n.recordGone(s, m)
-		case len(hosts) < 100:
+		case len(hosts) < maxReturn:
 			hosts = append(hosts, m.host)
 		}
 	}
@@ -132,12 +133,29 @@
 		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 20*time.Second, func(error) {})
 }
 
-func (n *Node) returnHosts(ctx context.Context, hosts []string) {
-	var status int
-	err := n.cloud.Wait(ctx)
-	if err == nil {
-		status, err = n.call(ctx, n.cfg.Cloud, "POST", protocol.PathReturn, protocol.HostNames{Hosts: hosts}, nil, 4*time.Second)
+// maxReturn is the most machines that the cloud takes back in one call.
+const maxReturn = 100
+
+// askReturn asks the cloud to take machines back.
+func (n *Node) askReturn(ctx context.Context, hosts []string) (int, error) {
+	if err := n.cloud.Wait(ctx); err != nil {
+		return 0, err
+	}
+	return n.call(ctx, n.cfg.Cloud, "POST", protocol.PathReturn, protocol.HostNames{Hosts: hosts}, nil, 4*time.Second)
+}
+
+// provedGone notes that the cloud has taken a machine back: it and everything
+// on it are gone.
+func (n *Node) provedGone(m *machine) {
+	m.gone = true
+	n.shard(m.rec.Shard).stirred = true
+	for _, p := range m.use.places {
+		n.mark(p.c)
 	}
+}
+
+func (n *Node) returnHosts(ctx context.Context, hosts []string) {
+	status, err := n.askReturn(ctx, hosts)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.fleet.returnBusy = false
@@ -151,11 +169,7 @@
 		if err != nil || status != 200 || !n.active(s) || m.rec.State != ledger.Returning {
 			continue
 		}
-		// The 200 proves that the machine and everything on it are gone.
-		m.gone = true
-		for _, p := range m.use.places {
-			n.mark(p.c)
-		}
+		n.provedGone(m)
 		n.recordGone(s, m)
 	}
 	n.log.Info("machines returned", "hosts", strings.Join(hosts, ","), "status", status, "err", err)
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -23,6 +23,7 @@
 	rec   ledger.Hold
 	stamp uint64
 	busy  bool
+	pend  map[string]int // what is being recorded as held
 }
 
 const (
@@ -78,7 +79,9 @@
 }
 
 // wide lists the gangs that no shard could take with all its machines empty,
-// in the queue's order.
+// in the queue's order. One that was placed across shards and lost its attempt
+// stays among them, since no shard holds its claim: it was left waiting for ever
+// once a shard had grown large enough for it.
 func (n *Node) wide(now time.Time) []*job {
 	var out []*job
 	for _, j := range n.jobs {
@@ -86,7 +89,7 @@
 			now.Sub(j.seen) < gatherAfter || now.Before(j.pause) {
 			continue
 		}
-		if c := j.claims[0]; c != nil && (c.rec == nil || c.pend != nil || c.rec.Shard != "" || len(c.rec.Open) > 0) {
+		if !gatherable(j) {
 			continue
 		}
 		fits := make(map[string]int)
@@ -101,7 +104,7 @@
 		for _, k := range fits {
 			largest = max(largest, k)
 		}
-		if largest < j.rec.Spec.Tasks {
+		if largest < j.rec.Spec.Tasks || j.claims[0] != nil {
 			out = append(out, j)
 		}
 	}
@@ -117,6 +120,13 @@
 	return out
 }
 
+// gatherable tells that a job may be placed across shards: no shard has claimed
+// it, and nothing of an earlier attempt is left.
+func gatherable(j *job) bool {
+	c := j.claims[0]
+	return c == nil || (c.rec != nil && c.pend == nil && c.rec.Shard == "" && len(c.rec.Open) == 0)
+}
+
 // gather is the leader's part: ask for room for one wide job at a time, and
 // place the job once the shards hold enough for all of it. Two jobs gathering
 // at once could each hold what the other needs.
@@ -127,8 +137,10 @@
 		if g.stamp == 0 || g.busy {
 			continue
 		}
+		// A shard may have claimed the job while room was being gathered. It was
+		// placed a second time beside what ran already (ran_twice).
 		j := n.jobs[ref]
-		if j == nil || j.rec.Final() || now.UnixMilli() > g.rec.Until {
+		if j == nil || j.rec.Final() || now.UnixMilli() > g.rec.Until || !gatherable(j) {
 			n.endGather(ref, g)
 			continue
 		}
@@ -190,9 +202,11 @@
 			if len(next) == 0 || sameHold(next, h.rec.Hosts) {
 				continue
 			}
-			h.busy = true
+			// Held from now on: while the record was on its way the queue gave the same
+			// room to others, and the job's tasks were refused for want of it.
+			h.busy, h.pend = true, next
 			n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.GatherKeys + ref, Stamp: g.stamp}, {Key: key, Stamp: h.stamp}},
-				[]ledger.Op{{Key: key, Value: &ledger.Hold{Hosts: next}, Grant: n.permit}}, 5*time.Second, func(error) { h.busy = false })
+				[]ledger.Op{{Key: key, Value: &ledger.Hold{Hosts: next}, Grant: n.permit}}, 5*time.Second, func(error) { h.busy, h.pend = false, nil })
 		}
 	}
 }
@@ -227,10 +241,17 @@
 	for _, ref := range slices.Sorted(maps.Keys(n.gathers)) {
 		g := n.gathers[ref]
 		h, j := g.holds[s.name], n.jobs[ref]
-		if ref == but || h == nil || h.stamp == 0 || j == nil || j.rec.Spec == nil {
+		if ref == but || h == nil || j == nil || j.rec.Spec == nil {
 			continue
 		}
-		for host, k := range h.rec.Hosts {
+		hosts := maps.Clone(h.rec.Hosts)
+		for host, k := range h.pend {
+			if hosts == nil {
+				hosts = make(map[string]int)
+			}
+			hosts[host] = max(hosts[host], k)
+		}
+		for host, k := range hosts {
 			for range k {
 				if r := byHost[host]; r != nil && r.fits(j.rec.Spec) {
 					r.take(j.rec.Spec)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -82,6 +82,7 @@
 	teamRun    map[string][2]float64
 	groups     map[string]group
 	imageRecs  map[string]*ledger.Images
+	cancelled  map[string]*job       // those that are cancelled and have claims left
 	hungry     map[string]*job       // those of which a task may be without a machine
 	plans      map[string]*plan      // by job: the room for which it has displaced others
 	planned    []string              // claims for which room is being made, likewise
@@ -160,7 +161,7 @@
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
-		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
+		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
 	}
 	n.shard(n.cfg.Node)
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -272,17 +272,14 @@
 			m.stopped[name] = now
 			n.order(s, m, protocol.Stop(name, p.Try, grace))
 		}
-		n.enforceCancel(s, j, m, now)
 		return unsettled
 	case t != nil: // another attempt of it is still there
 		return unsettled
 	case !m.settled(s):
-		n.enforceCancel(s, j, m, now)
 		return unsettled
 	case stop:
 		if m.outstanding(name, p.Try) {
 			s.wantRaise(m)
-			n.enforceCancel(s, j, m, now)
 			return unsettled
 		}
 		return gone // it never started, and now never will
@@ -326,15 +323,6 @@
 	return func(c protocol.Command) bool { return c.Verb == "start" && c.Task == name }
 }
 
-// enforceCancel fences a machine that keeps a cancelled job's task for long:
-// the rules allow no task beyond the limit, whatever holds the stop back.
-func (n *Node) enforceCancel(s *shard, j *job, m *machine, now time.Time) {
-	if j.rec.State == protocol.Cancelled && !j.ended.IsZero() && now.Sub(j.ended) > n.cfg.Workers.Cancel*2/5 && !m.returning {
-		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref)
-		n.returnMachine(s, m)
-	}
-}
-
 // wantStop tells whether a placement should end, and with what grace.
 func (n *Node) wantStop(c *claim, p *ledger.Placement, now time.Time) (time.Duration, bool) {
 	j := n.jobs[c.ref]
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -59,14 +59,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	ok := n.loaded && len(n.types) > 0
-	if ok && now.Sub(n.led.LastOK()) > 4*time.Second {
-		for _, at := range n.stateOKAt {
-			if now.Sub(at) < 3*time.Second {
-				ok = false
-			}
-		}
-	}
-	if !ok {
+	if !ok || n.refusedAlone(now) {
 		reply(unavailable(1))
 		return
 	}
@@ -299,7 +292,7 @@
 		return
 	}
 	rec := *n.jobs[ref].rec
-	rec.State, rec.Tasks = protocol.Cancelled, rec.Spec.Tasks
+	rec.State, rec.Tasks, rec.Ended = protocol.Cancelled, rec.Spec.Tasks, time.Now().UnixMilli()
 	key := ledger.JobKeys + ref
 	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: stamp}}, []ledger.Op{{Key: key, Value: &rec}}, left, func(err error) {
 		switch {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -199,6 +199,15 @@
 	n.hungry[ref] = j
 	if r.Final() && j.ended.IsZero() {
 		j.ended = time.Now()
+		// What counts is when its user was told, not when this process heard of it:
+		// with every restart in between the machine that kept its tasks was given
+		// the full time again.
+		if at := time.UnixMilli(r.Ended); r.Ended != 0 && at.Before(j.ended) {
+			j.ended = at
+		}
+	}
+	if r.State == protocol.Cancelled {
+		n.cancelled[ref] = j
 	}
 	if r.Spec != nil {
 		// From the record: every controller must cut a job the same way.
@@ -262,6 +271,7 @@
 func (n *Node) forgetIfOver(j *job) {
 	if j.rec.Final() && len(j.claims) == 0 {
 		delete(n.jobs, j.ref)
+		delete(n.cancelled, j.ref)
 		n.remember(j.ref, j.rec, j.stamp)
 	}
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -546,6 +546,7 @@
 				n.noteImages(s, now)
 			}
 		}
+		n.enforceCancels(now)
 		n.mu.Unlock()
 	}
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -80,6 +80,7 @@
 	State string               `json:"x,omitempty"` // "", protocol.Done or protocol.Cancelled
 	Tasks int                  `json:"n,omitempty"` // of a final job
 	Size  int                  `json:"k,omitempty"` // tasks in a chunk
+	Ended int64                `json:"e,omitempty"` // Unix milliseconds of its cancellation, from which the bound on its tasks counts
 }
 
 // Final tells whether nothing can change any more.
--- a/internal/schedule/generate.go
+++ b/internal/schedule/generate.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
 	"math/bits"
 	"slices"
@@ -36,9 +37,10 @@
 
 // draft is a schedule that is being drawn.
 type draft struct {
-	t     *rapid.T
-	steps []step
-	jobs  int
+	t      *rapid.T
+	steps  []step
+	jobs   int
+	noEnds [][2]time.Duration // no controller ends in between
 }
 
 func (d *draft) add(at time.Duration, format string, a ...any) {
@@ -159,19 +161,22 @@
 	}
 }
 
+// kill ends a controller. The platform starts it again within some seconds; one
+// of them may stay away for longer.
 func (d *draft) kill(node string, at time.Duration) {
-	d.add(at, "kill %s", node)
-	d.add(at+500*time.Millisecond+d.lasts()/2, "start %s", node)
+	longest := 8 * time.Second
+	if node == names[2] {
+		longest = 25 * time.Second
+	}
+	d.add(at, "kill %s for %s", node, d.moment("away", 500*time.Millisecond, longest))
 }
 
 func (d *draft) trouble(name string, at time.Duration) {
-	d.add(at, "trouble %s on", name)
-	d.add(at+d.lasts(), "trouble %s off", name)
+	d.add(at, "trouble %s on for %s", name, d.lasts())
 }
 
-func (d *draft) machine(host int, begin, end string, at time.Duration) {
-	d.add(at, "vm %06d %s", host, begin)
-	d.add(at+d.lasts(), "vm %06d %s", host, end)
+func (d *draft) machine(host int, how string, at time.Duration) {
+	d.add(at, "vm %06d %s for %s", host, how, d.lasts())
 }
 
 // storm draws jobs and troubles that overlap.
@@ -188,6 +193,16 @@
 	}
 }
 
+// outage has the state service down. One longer than the bound on cancelled
+// tasks, with all controllers ended in it, is drawn nowhere: those that start
+// cannot read which tasks are cancelled, and no rule could be kept.
+func (d *draft) outage(at, longest time.Duration) {
+	if longest > 20*time.Second {
+		d.noEnds = append(d.noEnds, [2]time.Duration{at - 3*time.Second, at + longest})
+	}
+	d.add(at, "trouble outage on for %s", d.moment("lasts", 200*time.Millisecond, longest))
+}
+
 // any draws one trouble, the telling ones more often.
 func (d *draft) any(at time.Duration) {
 	switch d.pick("trouble", "kill", "kill", "kill all", "kill all", "outage", "outage", "refuse", "refuse", "slow", "lossy", "lossy", "deaf", "alone",
@@ -197,7 +212,7 @@
 	case "kill all":
 		d.kill("all", at)
 	case "outage":
-		d.trouble("outage", at)
+		d.outage(at, 14*time.Second)
 	case "refuse":
 		d.trouble("refuse "+d.node(), at)
 	case "slow":
@@ -209,7 +224,7 @@
 	case "alone":
 		d.trouble("alone "+d.node(), at)
 	case "cloud":
-		d.trouble("cloud", at)
+		d.add(at, "trouble cloud on for %s", d.moment("lasts", 200*time.Millisecond, 10*time.Second))
 	case "stingy":
 		d.trouble("stingy", at)
 	case "half":
@@ -217,13 +232,13 @@
 	case "lost":
 		d.trouble("lost", at)
 	case "hang":
-		d.machine(d.host(), "hang", "resume", at)
+		d.machine(d.host(), "hang", at)
 	case "cut":
-		d.machine(d.host(), "cut", "heal", at)
+		d.machine(d.host(), "cut", at)
 	case "sick":
-		d.machine(d.host(), "sick", "well", at)
+		d.machine(d.host(), "sick", at)
 	case "slow machine":
-		d.machine(d.host(), "slow", "well", at)
+		d.machine(d.host(), "slow", at)
 	case "take":
 		d.add(at, "vm %06d %s", d.host(), d.pick("how", "take", "notice"))
 	case "wave":
@@ -238,11 +253,13 @@
 	switch d.pick("knot", "abort", "limit", "gang") {
 	case "abort":
 		// Hang, abort and outage, with all controllers ended at times.
-		d.machine(d.host(), "hang", "resume", soon())
-		d.abort(max(1, d.jobs), soon())
-		d.trouble("outage", soon())
+		d.machine(d.host(), "hang", soon())
+		d.add(soon(), "user %s abort wk-%d", d.node(), max(1, d.jobs))
 		if d.yes(40, "all end") {
+			d.outage(soon(), 12*time.Second)
 			d.kill("all", soon()+d.moment("later", 0, 10*time.Second))
+		} else {
+			d.outage(soon(), 50*time.Second)
 		}
 	case "limit":
 		// A limited team's arrays wait in several shards, commits of unknown fate
@@ -251,25 +268,31 @@
 			d.jobs++
 			d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d array tasks=%d run=%d team=tight", d.node(), d.jobs, d.number("tasks", 4, 12), d.number("run", 2, 8))
 		}
-		d.trouble(d.pick("loss", "lossy", "outage", "slow", "refuse n0"), soon())
+		if loss := d.pick("loss", "lossy", "outage", "slow", "refuse n0"); loss == "outage" {
+			d.outage(soon(), 14*time.Second)
+		} else {
+			d.trouble(loss, soon())
+		}
 		if d.yes(50, "one ends") {
 			d.kill(d.node(), soon())
 		}
-		d.machine(d.host(), "hang", "resume", soon())
+		d.machine(d.host(), "hang", soon())
 	case "gang":
 		// Two machines of one gang are lost, or are about to be.
 		d.jobs++
 		d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d gang tasks=%d cpus=4 run=%d saves=3", d.node(), d.jobs, d.number("tasks", 2, 5), d.number("run", 5, 20))
 		first := d.host()
-		d.machine(first, d.pick("first", "hang", "cut"), "resume", soon())
-		d.machine(first+1, "hang", "resume", soon())
-		d.add(at+30*time.Second, "vm %06d heal", first)
+		d.machine(first, d.pick("first", "hang", "cut"), soon())
+		d.machine(first+1, "hang", soon())
 	}
 }
 
 // text writes the schedule down in order, with calm at its end.
 func (d *draft) text() string {
-	slices.SortStableFunc(d.steps, func(a, b step) int { return int(a.at - b.at) })
+	d.steps = slices.DeleteFunc(d.steps, func(s step) bool {
+		return strings.HasPrefix(s.text, "kill") && slices.ContainsFunc(d.noEnds, func(in [2]time.Duration) bool { return s.at > in[0] && s.at < in[1] })
+	})
+	slices.SortStableFunc(d.steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	var b strings.Builder
 	last := time.Duration(0)
 	for _, s := range d.steps {
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -100,8 +100,38 @@
 	return out
 }
 
-// step carries out one line.
+// after names what ends a thing that a line has begin.
+var after = map[string]string{"kill": "start", "on": "off", "hang": "resume", "cut": "heal", "sick": "well", "slow": "well"}
+
+// step carries out one line. One that ends in "for 5s" also has what it begins
+// end by itself, so that a shrunk script keeps the two together.
 func (c *cluster) step(f []string) error {
+	if k := len(f) - 2; k > 0 && f[k] == "for" {
+		last, err := time.ParseDuration(f[k+1])
+		if err != nil {
+			return fmt.Errorf("script: %w", err)
+		}
+		begin, end := f[:k], slices.Clone(f[:k])
+		for i, word := range begin {
+			if after[word] != "" && (i == 0 || i == k-1) {
+				end[i] = after[word]
+			}
+		}
+		if slices.Equal(begin, end) {
+			return fmt.Errorf("script: nothing ends %q", strings.Join(begin, " "))
+		}
+		if err := c.step(begin); err != nil {
+			return err
+		}
+		c.users.Go(func() {
+			if time.Sleep(last); c.ctx.Err() == nil {
+				if err := c.step(end); err != nil {
+					c.fail(err)
+				}
+			}
+		})
+		return nil
+	}
 	arg := func(i int) string {
 		if i < len(f) {
 			return f[i]
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -17,8 +17,9 @@
 	Run       time.Duration // 0 for a service
 	Fail      bool          // every task fails
 	Fetch     time.Duration // of its image, if longer than usual
-	accepted  bool
-	told      string // the latest phase a user was told
+	accepted  time.Time     // when its user was told so
+	told      string        // the latest phase a user was told
+	toldAt    time.Time     // when it was first told that
 	cancelled time.Time
 	done      map[int]bool
 }
@@ -34,8 +35,9 @@
 	}
 	w.mu.Unlock()
 	body, _ := json.Marshal(j.Spec)
+	asked := time.Now()
 	status, raw := w.Ask(node, "POST", "/submissions", body, 5*time.Second)
-	w.told(j.Spec.Ref, status, raw, status == 200 || status == 201)
+	w.told(j.Spec.Ref, asked, status, raw, status == 200 || status == 201)
 	return status
 }
 
@@ -44,15 +46,17 @@
 	w.mu.Lock()
 	w.aborted[ref] = true
 	w.mu.Unlock()
+	asked := time.Now()
 	status, raw := w.Ask(node, "POST", "/submissions/"+ref+"/abort", nil, 5*time.Second)
-	w.told(ref, status, raw, false)
+	w.told(ref, asked, status, raw, false)
 	return status
 }
 
 // Query asks a node for a job; phase is empty without an answer.
 func (w *World) Query(node, ref string) (status int, a protocol.JobAnswer) {
+	asked := time.Now()
 	status, raw := w.Ask(node, "GET", "/submissions/"+ref, nil, 2*time.Second)
-	w.told(ref, status, raw, false)
+	w.told(ref, asked, status, raw, false)
 	_ = json.Unmarshal(raw, &a)
 	return status, a
 }
@@ -100,8 +104,9 @@
 	}
 }
 
-// told checks an answer against what users were told before.
-func (w *World) told(ref string, status int, raw []byte, accepted bool) {
+// told checks an answer against what users were told before they asked. What
+// they were told while the question was on its way cannot be held against it.
+func (w *World) told(ref string, asked time.Time, status int, raw []byte, accepted bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j := w.jobs[ref]
@@ -111,10 +116,10 @@
 		}
 		return
 	}
-	if accepted {
-		j.accepted = true
+	if accepted && j.accepted.IsZero() {
+		j.accepted = time.Now()
 	}
-	if status == 404 && j.accepted || (status == 400 || status == 422) && j.accepted {
+	if (status == 404 || status == 400 || status == 422) && !j.accepted.IsZero() && !j.accepted.After(asked) {
 		w.breakRule("forgotten", "%s got %d", ref, status)
 	}
 	var a protocol.JobAnswer
@@ -122,7 +127,7 @@
 		return
 	}
 	final := func(p string) bool { return p == protocol.Done || p == protocol.Cancelled }
-	if final(j.told) && a.Phase != j.told {
+	if final(j.told) && a.Phase != j.told && (final(a.Phase) || !j.toldAt.After(asked)) {
 		w.breakRule("went_back", "%s was %s, is %s", ref, j.told, a.Phase)
 	}
 	if a.Phase == protocol.Cancelled && !w.aborted[ref] {
@@ -135,7 +140,9 @@
 		j.cancelled = time.Now()
 		w.note("%s is cancelled", ref)
 	}
-	j.told = a.Phase
+	if !final(j.told) && a.Phase != j.told {
+		j.told, j.toldAt = a.Phase, time.Now()
+	}
 }
 
 // Known is a job that was accepted, for checks once a test's work is over.
@@ -152,7 +159,7 @@
 	defer w.mu.Unlock()
 	var out []Known
 	for _, ref := range slices.Sorted(maps.Keys(w.jobs)) {
-		if j := w.jobs[ref]; j.accepted {
+		if j := w.jobs[ref]; !j.accepted.IsZero() {
 			out = append(out, Known{ref, j.Spec.Shape, j.Spec.Tasks, j.Fail})
 		}
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -96,8 +96,8 @@
 
 func (w *World) breakRule(rule, format string, a ...any) {
 	text := rule + ": " + fmt.Sprintf(format, a...)
-	w.note("BROKEN %s", text)
-	if len(w.broken) < 100 {
+	if !slices.Contains(w.broken, text) {
+		w.note("BROKEN %s", text)
 		w.broken = append(w.broken, text)
 	}
 }
