--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -92,11 +92,15 @@
 		if !gatherable(j) {
 			continue
 		}
-		fits := make(map[string]int)
+		fits := make(map[[2]string]int) // by shard, and by zone if it must be one
 		for _, s := range n.shards {
 			for _, m := range s.machines {
 				if t := n.types[m.rec.Type]; t != nil && canEver(j.rec.Spec, t) && allowed(j.rec.Spec, m.rec.Type, m.rec.Zone, m.rec.Spot) {
-					fits[s.name] += perMachine(j.rec.Spec, t)
+					at := [2]string{s.name}
+					if j.rec.Spec.SameZone {
+						at[1] = m.rec.Zone
+					}
+					fits[at] += perMachine(j.rec.Spec, t)
 				}
 			}
 		}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -467,9 +467,25 @@
 		next = u.c.rec.Clone()
 	}
 	z := n.zonesOf(u)
-	picks := n.pickHosts(u, next, rooms, &z, now)
 	need := u.waiting()
 	whole := u.spec.Shape == protocol.Gang
+	picks := n.pickHosts(u, next, rooms, &z, now)
+	if whole && u.spec.SameZone && len(picks) < need {
+		// The best machine for the first task may be in a zone without room for the
+		// rest: such a gang waited for ever beside another zone's free machines.
+		for _, zone := range zonesIn(u.spec, rooms) {
+			undo(u.spec, picks, rooms)
+			z = n.zonesOf(u)
+			if z.only != "" && z.only != zone {
+				picks = nil
+				continue
+			}
+			z.only = zone
+			if picks = n.pickHosts(u, next, rooms, &z, now); len(picks) == need {
+				break
+			}
+		}
+	}
 	if len(picks) == 0 || (whole && len(picks) < need) {
 		undo(u.spec, picks, rooms)
 		return false, true
@@ -654,17 +670,21 @@
 // may displace more.
 const planFor = 5 * time.Second
 
+// expirePlans drops the plans that have had their time or whose job is over.
+func (n *Node) expirePlans(now time.Time) {
+	for ref, p := range n.plans {
+		if j := n.jobs[ref]; now.After(p.until) || j == nil || j.rec.Final() {
+			delete(n.plans, ref)
+		}
+	}
+}
+
 // holdPlans sets the planned room of a shard's machines apart.
 func (n *Node) holdPlans(s *shard, rooms []*room, now time.Time) {
 	held := false
 	refs := slices.Sorted(maps.Keys(n.plans))
 	for _, ref := range refs {
-		p, j := n.plans[ref], n.jobs[ref]
-		if now.After(p.until) || j == nil || j.rec.Final() {
-			delete(n.plans, ref)
-			continue
-		}
-		held = held || p.shard == s.name
+		held = held || n.plans[ref].shard == s.name
 	}
 	if !held {
 		return
@@ -672,8 +692,7 @@
 	n.detail(rooms, now)
 	for _, r := range rooms {
 		for _, ref := range refs {
-			if p := n.plans[ref]; p != nil && p.hosts[r.host] > 0 && r.reservedFor == "" {
-				k := p.hosts[r.host]
+			if k := n.plans[ref].hosts[r.host]; k > 0 && r.reservedFor == "" {
 				r.hold(n.jobs[ref].rec.Spec, ref, k, now.Add(time.Second))
 			}
 		}
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -50,6 +50,7 @@
 }
 
 func (n *Node) pass(now time.Time) {
+	n.expirePlans(now)
 	for _, name := range n.shardNames() {
 		s := n.shards[name]
 		if !n.active(s) {
