--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -227,7 +227,9 @@
 		} else if !r.usable {
 			continue
 		}
-		if !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.reservedFor != "" || !canEver(s, r.total) {
+		// Nor where it has just failed: it may not start there for a while, and a
+		// reservation kept everybody else from the machine meanwhile.
+		if !allowed(s, r.typ, r.zone, r.spot) || !z.permits(r.zone) || r.reservedFor != "" || !canEver(s, r.total) || r.recentErrors[ref] {
 			continue
 		}
 		zone := ""
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -306,7 +306,9 @@
 			continue
 		}
 		// Where its tasks are may keep a unit from room that others could use.
-		failedSpecs[key] = (!u.spec.Spread && !u.spec.SameZone) || u.c == nil || len(u.c.rec.Open) == 0
+		// So may its own failures there, which say nothing about others alike.
+		failedSpecs[key] = ((!u.spec.Spread && !u.spec.SameZone) || u.c == nil || len(u.c.rec.Open) == 0) &&
+			!slices.ContainsFunc(rooms, func(r *room) bool { return r.recentErrors[u.j.ref] })
 		if blocked && u.spec.Shape == protocol.Array {
 			continue
 		}
