--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -428,20 +428,13 @@
 	if t.busy {
 		return nil, nil, nil, false
 	}
-	use := [2]float64{float64(len(next.Open)) * c.spec.CPUs, float64(len(next.Open)) * c.spec.GPUs}
 	if next.Shard == "" {
 		shard = "*" + c.ref // several owners change it, so it has an entry of its own
 	}
-	if next.Shard != "" {
-		others := n.use[teamShard{c.spec.Team, shard}]
-		if c.sum.kept && c.sum.key.shard == shard {
-			others[0], others[1] = others[0]-c.sum.use[0], others[1]-c.sum.use[1]
-		}
-		use[0], use[1] = use[0]+others[0], use[1]+others[1]
-	}
+	use, most := n.teamAfter(t, shard, c, next)
 	key := ledger.TeamKeys + c.spec.Team
 	rec := &ledger.Team{Use: map[string][2]float64{shard: use}}
-	total := use
+	total := most
 	for name, u := range t.rec.Use {
 		if name != shard {
 			rec.Use[name] = u
@@ -450,16 +443,56 @@
 		}
 	}
 	limit := n.cfg.Teams[c.spec.Team]
-	before := 0
-	if c.rec != nil {
-		before = len(c.rec.Open)
-	}
-	if len(next.Open) > before && ((limit.CPUsMax > 0 && total[0] > limit.CPUsMax+eps) || (limit.GMax > 0 && total[1] > limit.GMax+eps)) {
+	if len(next.Open) > c.placed() && ((limit.CPUsMax > 0 && total[0] > limit.CPUsMax+eps) || (limit.GMax > 0 && total[1] > limit.GMax+eps)) {
 		return nil, nil, nil, false
 	}
 	return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op{{Key: key, Value: rec}}, t, true
 }
 
+// teamAfter is what a team uses of a shard once a claim has its next version,
+// as it goes into the record, and the most that it may be.
+//
+// The team's record and the claim are conditions of the transaction, so what
+// the record says, changed by what the claim changes by, is exact whatever the
+// cache holds of the shard's other claims. To add those up is not: after a
+// commit of unknown fate the record is read again before the claim that went
+// with it, and claims whose job is not known yet have no size. A team used twice
+// its limit that way. The sum still serves where the cache is complete up to the
+// record, to put right what a change of limits has left out.
+func (n *Node) teamAfter(t *teamUse, shard string, c *claim, next *ledger.Claim) (use, most [2]float64) {
+	of := func(tasks int) [2]float64 {
+		return [2]float64{float64(tasks) * c.spec.CPUs, float64(tasks) * c.spec.GPUs}
+	}
+	was, is, had := of(c.placed()), of(len(next.Open)), t.rec.Use[shard]
+	for k := range use {
+		use[k] = max(0, had[k]-was[k]+is[k])
+		if use[k] < eps {
+			use[k] = 0 // what many small amounts leave by rounding
+		}
+	}
+	most = use
+	if next.Shard == "" {
+		return use, most
+	}
+	sum := n.use[teamShard{c.spec.Team, shard}]
+	if c.sum.kept && c.sum.key.shard == shard {
+		sum = [2]float64{sum[0] - c.sum.use[0], sum[1] - c.sum.use[1]}
+	}
+	sum = [2]float64{sum[0] + is[0], sum[1] + is[1]}
+	if n.epoch >= t.stamp && len(n.orphans) == 0 {
+		use = sum
+	}
+	return use, [2]float64{max(most[0], sum[0]), max(most[1], sum[1])}
+}
+
+// placed counts the placements of a claim's committed version.
+func (c *claim) placed() int {
+	if c.rec == nil {
+		return 0
+	}
+	return len(c.rec.Open)
+}
+
 // update commits a new version of a claim that this shard holds.
 func (n *Node) update(s *shard, c *claim, next *ledger.Claim, prio int, then func(error)) bool {
 	conds, ops, t, ok := n.reserveTeam(s.name, c, next)
--- /dev/null
+++ b/internal/schedule/guards_test.go
@@ -0,0 +1,134 @@
+package schedule
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+var guards = flag.Int("guards", 0, "take each guard out once and look for it with so many schedules (minutes of processor time)")
+
+// guard is a line that keeps a rule, and what is there without it.
+type guard struct {
+	name      string
+	file      string
+	with, out string
+}
+
+// taken are the guards that docs/DESIGN.md names.
+var taken = []guard{
+	{"a claim must not exist yet", "queue.go", `ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: 0})`, `ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token})`},
+	{"a claim must be the version decided on", "settle.go", `ledger.Cond{Key: c.key, Stamp: c.stamp})
+	if j := n.jobs`, `ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token})
+	if j := n.jobs`},
+	{"a placement needs the shard still owned", "settle.go", `	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: c.key, Stamp: c.stamp})
+	if j`, `	conds = append(conds, ledger.Cond{Key: c.key, Stamp: c.stamp})
+	if j`},
+	{"a placement needs the job as it was", "settle.go", `conds = append(conds, ledger.Cond{Key: ledger.JobKeys + c.ref, Stamp: j.stamp})`, `_ = j`},
+	{"write ahead", "queue.go", `	n.commit(claimPrio(u.spec), conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })`, `	for _, p := range next.Open {
+		if m := n.machines[p.Host]; m != nil {
+			n.order(s, m, protocol.Start(protocol.TaskName(c.ref, p.Task), p.Try))
+		}
+	}
+	n.flush(s)
+	n.commit(claimPrio(u.spec), conds, ops, 0, func(err error) { n.finishClaim(s, c, err) })`},
+	{"a new process acquires its shard anew", "shards.go", `case !n.loaded:`, `case false:`},
+	{"a shard is acted for once its records are read", "shards.go", `s.token != 0 && n.epoch >= s.token`, `s.token != 0`},
+	{"silence proves nothing", "settle.go", `	if m.rep == nil {
+		return onMachine
+	}
+	grace`, `	if m.rep == nil {
+		return onMachine
+	}
+	if n.silence(m, now) > n.pol.Fence {
+		return gone
+	}
+	grace`},
+	{"an account counts under the present token only", "workers.go", `return m.rep != nil && s.token != 0 && m.rep.Token >= s.token`, `return m.rep != nil && s.token != 0`},
+	{"commands of unknown fate", "workers.go", `slices.ContainsFunc(m.unsure, func(u sentStart) bool { return u.task == task && u.try == try })`, `false`},
+	{"a machine that keeps a cancelled task is fenced", "workers.go", `		n.enforceCancels(now)
+`, ``},
+	{"fenced without a record if need be", "cancel.go", `return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now)`, `return false`},
+	{"the bound counts from the record", "view.go", `r.Ended != 0 && at.Before(j.ended)`, `false && at.Before(j.ended)`},
+	{"team limits are conditions", "settle.go", `return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op`, `return nil, []ledger.Op`},
+	{"team use by the record", "settle.go", `	if n.epoch >= t.stamp && len(n.orphans) == 0 {
+		use = sum
+	}
+	return use, [2]float64{max(most[0], sum[0]), max(most[1], sum[1])}`, `	return sum, sum`},
+	{"404 is confirmed", "users.go", `	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
+		switch {
+		case err == nil && !known:`, `	func(do func(error)) { do(nil) }(func(err error) {
+		switch {
+		case err == nil && !known:`},
+	{"done needs all chunks", "settle.go", `(!o.rec.Full() || o.pend != nil)`, `false`},
+	{"zones of what is placed already", "queue.go", `return newZoneRule(u.spec, n.zonesTaken(u.c))`, `return newZoneRule(u.spec, nil)`},
+	{"a gang claimed meanwhile is not placed again", "gather.go", `|| !gatherable(j) {
+			n.endGather`, `|| false {
+			n.endGather`},
+	{"a gang's old attempt has to be gone", "queue.go", `	if whole && u.c != nil && len(u.c.rec.Open) > 0 {
+		undo(u.spec, picks, rooms)
+		return false, false // the old attempt has to be gone first
+	}
+`, ``},
+	{"every wait ends with the context", "node.go", `			case <-ctx.Done():
+				return // the ledger may have ended first
+`, ``},
+}
+
+// TestGuards takes each guard out of a copy of the sources and has the
+// schedules find it. It prints a line for each, the table in
+// docs/measurements/schedule.md.
+func TestGuards(t *testing.T) {
+	if *guards == 0 {
+		// The sources must still have every guard as it is written down here.
+		for _, g := range taken {
+			src, err := os.ReadFile(filepath.Join("..", "coordination", g.file))
+			if err != nil || strings.Count(string(src), g.with) != 1 {
+				t.Errorf("%s: not once in %s (%v)", g.name, g.file, err)
+			}
+		}
+		return
+	}
+	seed := regexp.MustCompile(`--- FAIL: TestSeeds/(\d+)`)
+	for _, g := range taken {
+		t.Run(g.name, func(t *testing.T) {
+			dir := t.TempDir()
+			if err := os.CopyFS(dir, os.DirFS(filepath.Join("..", ".."))); err != nil {
+				t.Fatal(err)
+			}
+			file := filepath.Join(dir, "internal", "coordination", g.file)
+			src, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(file, []byte(strings.Replace(string(src), g.with, g.out, 1)), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command("go", "test", "./internal/schedule", "-run", "TestSeeds", "-seeds", strconv.Itoa(*guards), "-from", strconv.Itoa(*from), "-plays", "0")
+			cmd.Dir = dir
+			raw, _ := cmd.CombinedOutput()
+			text := string(raw)
+			first := 0
+			for _, hit := range seed.FindAllStringSubmatch(text, -1) {
+				if n, _ := strconv.Atoi(hit[1]); first == 0 || n < first {
+					first = n
+				}
+			}
+			kinds := regexp.MustCompile(`failed: (map\[.*\])`).FindStringSubmatch(text)
+			switch {
+			case first > 0 && kinds != nil:
+				t.Logf("| %s | %d | %s |", g.name, first-*from+1, kinds[1])
+			case strings.Contains(text, "panic:"):
+				line, _, _ := strings.Cut(text[strings.Index(text, "panic:"):], "\n")
+				t.Logf("| %s | ends the run | %s |", g.name, line)
+			default:
+				t.Errorf("| %s | not found in %d | %.300s |", g.name, *guards, text)
+			}
+		})
+	}
+}
