--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -670,9 +670,12 @@
 func (n *Node) supply() []*room {
 	var out []*room
 	for _, name := range n.shardNames() {
+		// Only the owner sees that a machine fails its tasks. The leader counted
+		// the room of such machines on, and hired nothing for what waited for it.
+		barred := n.loads[name].load.Barred
 		for _, m := range n.shards[name].machines {
 			t := n.types[m.rec.Type]
-			if t == nil || m.sick || m.returning || !m.warned.IsZero() {
+			if t == nil || m.sick || m.returning || !m.warned.IsZero() || slices.Contains(barred, m.host) {
 				continue
 			}
 			r := &room{m: m, host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t, shard: m.rec.Shard}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -131,6 +131,9 @@
 	for _, r := range n.rooms(s, now) {
 		l.CPUs += r.total.CPUs
 		l.Used += r.total.CPUs - r.cpus
+		if r.m.sick {
+			l.Barred = append(l.Barred, r.host)
+		}
 		if !r.usable {
 			continue
 		}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -24,6 +24,9 @@
 	Used   float64            `json:"used"`   // by placed tasks
 	Queued float64            `json:"queued"` // wanted by its queue
 	Holds  map[string]float64 `json:"holds"`  // image: largest free CPUs on one machine holding it
+	// Barred are machines that its owner gives nothing new for good, and that are
+	// not returned yet.
+	Barred []string `json:"barred,omitempty"`
 }
 
 // KeyNews passes a just-committed record on, ahead of the watch.
