--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -237,6 +237,13 @@
 	name := c.nameOf(p)
 	t := m.tasks[name]
 	if t != nil && t.Try == p.Try && t.Phase == protocol.TaskExited && t.Cause == protocol.CauseDone {
+		// Done it is for ever, but an account under an earlier token does not prove
+		// that it is off the machine: its worker's session may have ended since, and
+		// another owner of the shard may have started it again there. Freed on such
+		// an account, a limited team's use was lowered while the task ran.
+		if !m.settled(s) && !m.gone && m.rec.State != ledger.Gone {
+			return unsettled
+		}
 		n.learn(c.spec, m, name, now)
 		return completed
 	}
@@ -300,7 +307,7 @@
 func (n *Node) bookDone(c *claim, next *ledger.Claim) {
 	next.Open = slices.DeleteFunc(next.Open, func(p ledger.Placement) bool {
 		m := n.machines[p.Host]
-		if m == nil || c.spec.Shape == protocol.Gang {
+		if m == nil || c.spec.Shape == protocol.Gang || !m.settled(n.shards[m.rec.Shard]) {
 			return false
 		}
 		t := m.tasks[c.nameOf(&p)]
--- a/internal/schedule/generate.go
+++ b/internal/schedule/generate.go
@@ -77,7 +77,7 @@
 
 func (d *draft) node() string { return names[d.number("node", 0, len(names)-1)] }
 
-func (d *draft) host() int { return d.number("host", 1, 9) }
+func (d *draft) host() string { return fmt.Sprintf("%06d", d.number("host", 1, 9)) }
 
 func (d *draft) pick(label string, from ...string) string {
 	return from[d.number(label, 0, len(from)-1)]
@@ -175,8 +175,12 @@
 	d.add(at, "trouble %s on for %s", name, d.lasts())
 }
 
-func (d *draft) machine(host int, how string, at time.Duration) {
-	d.add(at, "vm %06d %s for %s", host, how, d.lasts())
+func (d *draft) machine(host, how string, at time.Duration) {
+	if how == "take" || how == "notice" {
+		d.add(at, "vm %s %s", host, how)
+		return
+	}
+	d.add(at, "vm %s %s for %s", host, how, d.lasts())
 }
 
 // storm draws jobs and troubles that overlap.
@@ -240,7 +244,7 @@
 	case "slow machine":
 		d.machine(d.host(), "slow", at)
 	case "take":
-		d.add(at, "vm %06d %s", d.host(), d.pick("how", "take", "notice"))
+		d.machine(d.host(), d.pick("how", "take", "notice"), at)
 	case "wave":
 		d.add(at, "wave %s", d.pick("how", "take", "notice"))
 	}
@@ -250,11 +254,12 @@
 // and in any order.
 func (d *draft) knot(at time.Duration) {
 	soon := func() time.Duration { return at + d.moment("soon", 0, 4*time.Second) }
-	switch d.pick("knot", "abort", "limit", "gang") {
+	switch d.pick("knot", "abort", "limit", "gang", "late") {
 	case "abort":
 		// Hang, abort and outage, with all controllers ended at times.
-		d.machine(d.host(), "hang", soon())
-		d.add(soon(), "user %s abort wk-%d", d.node(), max(1, d.jobs))
+		job := d.quiet(at-d.moment("before", 3*time.Second, 7*time.Second), "")
+		d.machine(fmt.Sprint("@", job), "hang", soon())
+		d.add(soon(), "user %s abort %s", d.node(), job)
 		if d.yes(40, "all end") {
 			d.outage(soon(), 12*time.Second)
 			d.kill("all", soon()+d.moment("later", 0, 10*time.Second))
@@ -265,13 +270,14 @@
 		// A limited team's arrays wait in several shards, commits of unknown fate
 		// and takeovers between.
 		for range d.number("arrays", 2, 3) {
-			d.jobs++
-			d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d array tasks=%d run=%d team=tight", d.node(), d.jobs, d.number("tasks", 4, 12), d.number("run", 2, 8))
+			d.quiet(at-d.moment("before", 0, 3*time.Second), fmt.Sprintf("array tasks=%d run=%d team=tight", d.number("tasks", 4, 12), d.number("run", 2, 8)))
 		}
-		if loss := d.pick("loss", "lossy", "outage", "slow", "refuse n0"); loss == "outage" {
-			d.outage(soon(), 14*time.Second)
-		} else {
-			d.trouble(loss, soon())
+		for range d.number("losses", 1, 2) {
+			if loss := d.pick("loss", "lossy", "lossy", "outage", "slow", "refuse n0"); loss == "outage" {
+				d.outage(soon(), 14*time.Second)
+			} else {
+				d.trouble(loss, soon())
+			}
 		}
 		if d.yes(50, "one ends") {
 			d.kill(d.node(), soon())
@@ -279,12 +285,39 @@
 		d.machine(d.host(), "hang", soon())
 	case "gang":
 		// Two machines of one gang are lost, or are about to be.
-		d.jobs++
-		d.add(at-d.moment("before", 0, 3*time.Second), "user %s submit wk-%d gang tasks=%d cpus=4 run=%d saves=3", d.node(), d.jobs, d.number("tasks", 2, 5), d.number("run", 5, 20))
-		first := d.host()
-		d.machine(first, d.pick("first", "hang", "cut"), soon())
-		d.machine(first+1, "hang", soon())
+		job := d.quiet(at-d.moment("before", 0, 3*time.Second), fmt.Sprintf("gang tasks=%d cpus=4 run=%d saves=3", d.number("tasks", 2, 5), d.number("run", 5, 20)))
+		for range 2 {
+			d.machine(fmt.Sprint("@", job), d.pick("how", "hang", "cut", "take"), soon())
+		}
+	case "late":
+		// Commands are held back on their way and arrive after the work was placed
+		// elsewhere, or after their sender has ended and started again.
+		job := d.quiet(at, "")
+		for range d.number("cuts", 1, 3) {
+			d.add(at+d.moment("about", 0, 1500*time.Millisecond), "vm %s cut for %s", d.host(), d.moment("held", 300*time.Millisecond, 11*time.Second))
+		}
+		if d.yes(60, "its sender ends") {
+			d.add(at+d.moment("then", 0, 2*time.Second), "kill %s for %s", d.pick("who", "all", names[0], names[1]), d.moment("away", 300*time.Millisecond, 3*time.Second))
+		}
+		if d.yes(40, "aborted") {
+			d.add(soon(), "user %s abort %s", d.node(), job)
+		}
+		if d.yes(30, "lossy") {
+			d.trouble("lossy", at)
+		}
+	}
+}
+
+// quiet submits a job with nothing special about it, or the one given, and
+// returns its id.
+func (d *draft) quiet(at time.Duration, job string) string {
+	if job == "" {
+		job = d.pick("kind", fmt.Sprintf("service tasks=%d", d.number("replicas", 1, 6)), fmt.Sprintf("array tasks=%d run=%d", d.number("tasks", 2, 16), d.number("run", 3, 20)))
 	}
+	d.jobs++
+	ref := fmt.Sprintf("wk-%d", d.jobs)
+	d.add(at, "user %s submit %s %s", d.node(), ref, job)
+	return ref
 }
 
 // text writes the schedule down in order, with calm at its end.
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -111,7 +111,11 @@
 		if err != nil {
 			return fmt.Errorf("script: %w", err)
 		}
-		begin, end := f[:k], slices.Clone(f[:k])
+		begin, end := slices.Clone(f[:k]), slices.Clone(f[:k])
+		if ref, ok := strings.CutPrefix(begin[min(1, k-1)], "@"); ok {
+			host := strings.TrimPrefix(c.w.HostOf(ref), "vm-") // both are of the same machine
+			begin[1], end[1] = host, host
+		}
 		for i, word := range begin {
 			if after[word] != "" && (i == 0 || i == k-1) {
 				end[i] = after[word]
@@ -185,7 +189,11 @@
 	case "trouble": // trouble NAME [NODE] on|off
 		c.w.Trouble(strings.Join(f[1:len(f)-1], " "), f[len(f)-1] == "on")
 	case "vm": // vm HOST hang|resume|cut|heal|sick|slow|well|notice|take
-		c.w.Set("vm-"+arg(1), arg(2))
+		host := "vm-" + arg(1)
+		if ref, ok := strings.CutPrefix(arg(1), "@"); ok { // @REF: the machine of a task of the job's
+			host = c.w.HostOf(ref)
+		}
+		c.w.Set(host, arg(2))
 	case "wave": // wave notice|take: the cloud wants its cheap machines back
 		for _, host := range c.w.Hosts(true) {
 			c.w.Set(host, arg(1))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// HostOf is a machine that has a task of a job, or is fetching for it: the one
+// that neither hangs nor is cut off, if there is one, with the lowest name.
+func (w *World) HostOf(ref string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	best := ""
+	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
+		m := w.machines[host]
+		for name, t := range m.tasks {
+			if r, _, _ := protocol.SplitTask(name); r == ref && !m.gone && t.phase != protocol.TaskExited {
+				if best == "" || w.machines[best].hung || w.machines[best].cutOff {
+					best = host
+				}
+			}
+		}
+	}
+	return best
+}
+
 // Hosts lists the machines that are rented, those of one zone or kind if asked.
 func (w *World) Hosts(spotOnly bool) []string {
 	w.mu.Lock()
