--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -29,10 +29,18 @@
 		for _, chunk := range slices.Sorted(maps.Keys(j.claims)) {
 			c := j.claims[chunk]
 			for _, p := range c.on {
-				if m := p.at.m; m != nil && n.active(n.shards[m.rec.Shard]) && n.keeps(m, p) {
-					if n.enforceCancel(j, m, now) && !slices.Contains(bare, m.host) {
-						bare = append(bare, m.host)
-					}
+				m := p.at.m
+				if m == nil || m.gone {
+					continue
+				}
+				late := false
+				if n.active(n.shards[m.rec.Shard]) {
+					late = n.keeps(m, p) && n.enforceCancel(j, m, now)
+				} else {
+					late = n.keptUnowned(j, m, p, now)
+				}
+				if late && !slices.Contains(bare, m.host) {
+					bare = append(bare, m.host)
 				}
 			}
 		}
@@ -48,9 +56,6 @@
 
 // keeps tells whether a placement's task is, or may yet be, on its machine.
 func (n *Node) keeps(m *machine, p *place) bool {
-	if m.gone {
-		return false
-	}
 	t := m.tasks[p.name]
 	if t != nil && t.Try == p.try {
 		return t.Phase != protocol.TaskExited
@@ -73,6 +78,24 @@
 	return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now)
 }
 
+// keptUnowned tells, for a machine of a shard that this node may not act for,
+// that it seems to keep a cancelled task. An outage may find a shard between two
+// owners, and nobody can acquire it then. The node asks the machine itself: one
+// that answers is not its business, one that does not is returned without a
+// record, which any node may do.
+func (n *Node) keptUnowned(j *job, m *machine, p *place, now time.Time) bool {
+	if now.Sub(j.ended) <= n.cfg.Workers.Cancel/2 || m.rec.State != "" || n.refusedAlone(now) {
+		return false
+	}
+	if t := m.tasks[p.name]; m.heard.After(j.ended) && (t == nil || t.Phase == protocol.TaskExited) {
+		return false
+	}
+	if !m.probing {
+		n.probe(m)
+	}
+	return m.mute.After(j.ended) && m.mute.After(m.heard)
+}
+
 // refusedAlone tells that other controllers have just heard from the state
 // service and this one has not: its shards' next owner does what is needed, with
 // a record.
