--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -457,16 +457,26 @@
 			rec.Hosts = append(rec.Hosts, host)
 		}
 	}
-	// A hire that is still without an answer may have rented these. If it is
-	// answered first, this fails, and none of them is put into two shards.
+	// A hire that is still without an answer may have rented these. If its answer
+	// is recorded first, this fails. If this comes first, the hire's record gets a
+	// new version, and an answer that was about to be recorded, or is recorded
+	// late, fails: else a machine is put into two shards, with two owners.
 	conds := []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.HireKeys + name, Stamp: 0}}
+	ops := []ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}
 	for _, name := range slices.Sorted(maps.Keys(n.hires)) {
-		h := n.hires[name]
-		if h.stamp != 0 && h.rec.Type == kind.typ && h.rec.Zone == kind.zone && h.rec.Spot == kind.loaner && len(conds) < 2*n.cfg.StateLimit.TxnOps {
+		if h := n.hires[name]; h.stamp != 0 && h.rec.Type == kind.typ && h.rec.Zone == kind.zone && h.rec.Spot == kind.loaner {
+			again := h.rec
 			conds = append(conds, ledger.Cond{Key: ledger.HireKeys + h.name, Stamp: h.stamp})
+			ops = append(ops, ledger.Op{Key: ledger.HireKeys + h.name, Value: &again})
 		}
 	}
-	n.commit(ledger.PrioLease, conds, []ledger.Op{{Key: ledger.HireKeys + name, Value: rec}}, 5*time.Second, func(err error) {
+	if len(ops) > n.cfg.StateLimit.TxnOps {
+		for _, host := range hosts {
+			delete(n.unknown, host) // until fewer hires are without an answer
+		}
+		return
+	}
+	n.commit(ledger.PrioLease, conds, ops, 5*time.Second, func(err error) {
 		if err == nil {
 			n.log.Info("machines adopted", "hosts", len(hosts), "type", kind.typ, "zone", kind.zone, "parts", rec.Parts)
 		}
--- a/internal/schedule/calm.go
+++ b/internal/schedule/calm.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -49,10 +50,11 @@
 func (c *cluster) until(within time.Duration, check func() error) error {
 	end := time.Now().Add(within)
 	for {
-		err := check()
-		if err == nil {
-			err = c.recount()
+		err := cmp.Or(c.oneShard(), c.recount())
+		if err != nil {
+			return err // that does not mend itself
 		}
+		err = check()
 		c.mu.Lock()
 		fault := c.fault
 		c.mu.Unlock()
@@ -66,6 +68,26 @@
 	}
 }
 
+// oneShard checks that each machine is in one shard for life: with two, it has
+// two owners that both place work there.
+func (c *cluster) oneShard() error {
+	in := make(map[string]string)
+	records := c.records()
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		var h ledger.Hire
+		if !strings.HasPrefix(key, ledger.HireKeys) || json.Unmarshal(records[key], &h) != nil {
+			continue
+		}
+		for i, host := range h.Hosts {
+			if other := in[host]; other != "" && other != h.ShardOf(i) {
+				return fmt.Errorf("two_shards: %s is in %s and, by %s, in %s", host, other, key, h.ShardOf(i))
+			}
+			in[host] = h.ShardOf(i)
+		}
+	}
+	return nil
+}
+
 // settled checks the jobs: each is final at every controller or, a service,
 // runs whole.
 func (c *cluster) settled() error {
@@ -99,11 +121,7 @@
 	if k := c.w.Running(""); k > 0 {
 		return fmt.Errorf("leaked: %d tasks run though every job is over", k)
 	}
-	records := make(map[string]json.RawMessage)
-	for key, value := range c.w.State.Keys() {
-		_, key, _ = strings.Cut(key, "/")
-		records[key] = value
-	}
+	records := c.records()
 	for _, key := range slices.Sorted(maps.Keys(records)) {
 		if why := leaked(key, records[key]); why != "" {
 			return fmt.Errorf("leaked: %s: %s", key, why)
@@ -123,6 +141,16 @@
 	return nil
 }
 
+// records is what the state service holds, without the prefix of all keys.
+func (c *cluster) records() map[string]json.RawMessage {
+	records := make(map[string]json.RawMessage)
+	for key, value := range c.w.State.Keys() {
+		_, key, _ = strings.Cut(key, "/")
+		records[key] = value
+	}
+	return records
+}
+
 // leaked tells why a record should not be there once every job is over and
 // every machine returned.
 func leaked(key string, value json.RawMessage) string {
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
 	"madderslip/internal/standin"
 )
@@ -18,6 +20,7 @@
 	Err    error    // what was not as the script or the calm after it wants it
 	Broken []string // rules of the protocol
 	Events []string // what happened, a line each
+	Left   []string // what the state service holds of jobs that are not over
 }
 
 // Kind names what went wrong, in a word: a rule's name or that of a check
@@ -44,6 +47,7 @@
 		fmt.Fprintf(&b, "rules broken: %v\n", o.Broken)
 	}
 	b.WriteString(strings.Join(o.Events, "\n"))
+	b.WriteString("\n" + strings.Join(o.Left, "\n"))
 	return b.String()
 }
 
@@ -97,6 +101,13 @@
 		}
 	}
 	out.Broken, out.Events = c.w.Broken(), c.w.Events()
+	if records := c.records(); out.Kind() != "" {
+		for _, key := range slices.Sorted(maps.Keys(records)) {
+			if !strings.HasPrefix(key, ledger.MachineKeys) && !strings.HasPrefix(key, ledger.ImageKeys) && !strings.Contains(string(records[key]), `"x":`) {
+				out.Left = append(out.Left, key+" "+string(records[key]))
+			}
+		}
+	}
 	return out
 }
 
