--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -46,6 +46,13 @@
 func (n *Node) storeShard(name string, r *ledger.Shard, stamp uint64) {
 	s := n.shard(name)
 	s.rec, s.stamp = r, stamp
+	// Commands that were ordered under an earlier token and are not sent yet are
+	// void: another owner may have acted since. Kept, they went out under the next
+	// token and started again what had ended and was booked.
+	for _, m := range s.machines {
+		m.queue = nil
+		delete(n.outbox, m)
+	}
 	switch {
 	case r == nil || r.Owner != n.cfg.Node:
 		if s.token != 0 {
