--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -11,8 +11,8 @@
 
 // The indexes answer, without a walk over all claims, what is on a machine,
 // what a shard's claims are, and what a team uses. They are derived from the
-// claims and kept up to date by reindex alone; recount_test.go compares them
-// with a recount.
+// claims and kept up to date by reindex alone; Recount compares them with a
+// count from scratch.
 
 // place is a task that is, or may be, on a machine: a placement of a claim,
 // committed or being committed.
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -112,6 +112,9 @@
 			n.mu.Lock()
 			n.lookedUp(ref, it, err)
 			n.mu.Unlock()
+			if err != nil {
+				break // the others would wait as vainly
+			}
 		}
 		n.mu.Lock()
 		n.lookingUp = false
--- a/internal/schedule/calm.go
+++ b/internal/schedule/calm.go
@@ -24,8 +24,7 @@
 // accepted is final or runs, every controller says the same, and once all is
 // over nothing of it is left anywhere.
 func (c *cluster) calm() error {
-	c.w.Calm()
-	c.w.Spare = max(c.w.Spare, calmSpare)
+	c.w.Calm(calmSpare)
 	for _, name := range names {
 		if err := c.start(name); err != nil {
 			return err
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -75,6 +75,17 @@
 		return false, false // the old attempt has to be gone first
 	}
 `, ``},
+	{"done frees a placement under the present token only", "settle.go", `if !m.settled(s) && !m.gone && m.rec.State != ledger.Gone {
+			return unsettled`, `if false {
+			return unsettled`},
+	{"orders of an earlier token are void", "shards.go", `		m.queue = nil
+		delete(n.outbox, m)
+`, ``},
+	{"adoption and a hire's answer exclude one another", "workers.go", `			ops = append(ops, ledger.Op{Key: ledger.HireKeys + h.name, Value: &again})
+`, `			_ = again
+`},
+	{"the lead is known by its record", "shards.go", `n.leadMine = r.Node == n.cfg.Node && r.Boot == n.boot.UnixMilli(); n.leadMine {`, `n.leadMine = r.Node == n.cfg.Node && r.Boot == n.boot.UnixMilli() && !n.leadBusy; n.leadMine {`},
+	{"no empty set of claims without a job", "view.go", `if delete(set, c.key); len(set) == 0 {`, `if delete(set, c.key); false {`},
 	{"every wait ends with the context", "node.go", `			case <-ctx.Done():
 				return // the ledger may have ended first
 `, ``},
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -172,7 +172,8 @@
 		}
 		c.w.AddKind(n, typ, arg(2), arg(4) == "cheap")
 	case "spare": // spare COUNT: what the cloud has left to rent
-		c.w.Spare, _ = strconv.Atoi(arg(1))
+		n, _ := strconv.Atoi(arg(1))
+		c.w.SetSpare(n)
 	case "submit": // submit NODE REF shape tasks=N key=value
 		j, want, err := job(f[2:])
 		if err != nil {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -60,7 +60,7 @@
 	}
 	hosts, again := w.hires[h.Name]
 	if !again {
-		count := min(h.Count, w.Spare)
+		count := min(h.Count, w.spare)
 		if w.trouble["half"] {
 			count = min(count, (h.Count+1)/2)
 		}
@@ -68,7 +68,7 @@
 			count = 0
 		}
 		for range count {
-			w.Spare--
+			w.spare--
 			hosts = append(hosts, w.boot(h.Type, h.Zone, h.Spot, w.between(6*time.Second, 15*time.Second, h.Name)))
 		}
 		if len(hosts) == 0 {
@@ -84,7 +84,7 @@
 	m.gone, m.goneAt = true, time.Now()
 	m.kill()
 	delete(w.held, m.host)
-	w.Spare++
+	w.spare++
 	m.poke()
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -88,7 +88,7 @@
 	if m == nil || m.gone {
 		return
 	}
-	was := *m
+	hung, cutOff := m.hung, m.cutOff
 	switch what {
 	case "hang":
 		if !m.hung {
@@ -117,10 +117,10 @@
 		w.remove(m)
 		return
 	}
-	if m.hung != was.hung || m.cutOff != was.cutOff || what == "sick" || what == "slow" {
+	if m.hung != hung || m.cutOff != cutOff || what == "sick" || what == "slow" {
 		w.note("%s: %s", host, what)
 	}
-	if (what == "resume" && was.hung || what == "heal" && was.cutOff) && !m.hung && !m.cutOff {
+	if (what == "resume" && hung || what == "heal" && cutOff) && !m.hung && !m.cutOff {
 		m.expire()
 		for _, late := range w.held[host] {
 			late()
@@ -273,11 +273,12 @@
 		w.mu.Unlock()
 		return 4 * time.Second
 	}
-	w.mu.Unlock()
 	if h == nil {
 		m.node++
+		w.mu.Unlock()
 		return time.Second
 	}
+	w.mu.Unlock()
 	if !wait(w.ctx, there) {
 		return time.Second
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -46,7 +46,7 @@
 	events   []string
 	began    time.Time
 	Types    []protocol.MachineType
-	Spare    int // machines that the cloud has left to rent
+	spare    int // machines that the cloud has left to rent
 }
 
 // NewWorld makes an empty world.
@@ -152,9 +152,17 @@
 	}
 }
 
-// Calm ends all troubles.
-func (w *World) Calm() {
+// SetSpare sets how many machines the cloud has left to rent.
+func (w *World) SetSpare(count int) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.spare = count
+}
+
+// Calm ends all troubles and leaves the cloud at least so many machines to rent.
+func (w *World) Calm(spare int) {
+	w.mu.Lock()
+	w.spare = max(w.spare, spare)
 	troubles := slices.Sorted(maps.Keys(w.trouble))
 	hosts := slices.Sorted(maps.Keys(w.machines))
 	w.mu.Unlock()
