--- a/internal/coordination/place_test.go
+++ b/internal/coordination/place_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
 )
 
@@ -71,3 +72,29 @@
 		t.Fatal("the plan changed the rooms")
 	}
 }
+
+// After a commit of unknown fate a team's record can be known before the claim
+// that went with it. What the record says counts then, not the sum of the claims
+// that are known: with it a team was given its limit twice.
+func TestTeamUseIsTheRecords(t *testing.T) {
+	team := map[string]protocol.Team{"t": {Name: "t", CPUsMax: 4}}
+	n := New(Options{Settings: protocol.Settings{Node: "n0", Teams: team}})
+	spec := func(ref string) *protocol.Submission {
+		return &protocol.Submission{Ref: ref, Team: "t", Shape: protocol.Array, Tasks: 2, CPUs: 2}
+	}
+	one := func() *ledger.Claim {
+		return &ledger.Claim{Shard: "n0", Count: 2, Open: []ledger.Placement{{Task: 0, Try: 1, Host: "vm-1"}}}
+	}
+	n.epoch = 5
+	n.storeJob("wk-1", &ledger.Job{Spec: spec("wk-1"), Size: 2}, 3)
+	n.storeClaim(ledger.ClaimKey("wk-1", 0), one(), 5) // its second task is placed at 8
+	n.team("t").rec, n.team("t").stamp = ledger.Team{Use: map[string][2]float64{"n0": {4, 0}}}, 8
+	c := &claim{key: ledger.ClaimKey("wk-2", 0), ref: "wk-2", spec: spec("wk-2")}
+	if _, _, _, ok := n.reserveTeam("n0", c, one()); ok {
+		t.Fatal("the team has 4 of 4 CPUs by its record and was given 2 more")
+	}
+	n.epoch = 8 // all up to the record has been seen: the claim was in truth not changed
+	if _, ops, _, ok := n.reserveTeam("n0", c, one()); !ok || ops[0].Value.(*ledger.Team).Use["n0"][0] != 4 {
+		t.Fatalf("the sum of all claims is 2 of 4 CPUs, and 2 more gave %v", ops)
+	}
+}
