--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -480,9 +480,8 @@
 			use[k] = 0 // what many small amounts leave by rounding
 		}
 	}
-	most = use
 	if next.Shard == "" {
-		return use, most
+		return use, use
 	}
 	sum := n.use[teamShard{c.spec.Team, shard}]
 	if c.sum.kept && c.sum.key.shard == shard {
@@ -490,9 +489,9 @@
 	}
 	sum = [2]float64{sum[0] + is[0], sum[1] + is[1]}
 	if n.epoch >= t.stamp && len(n.orphans) == 0 {
-		use = sum
+		return sum, sum
 	}
-	return use, [2]float64{max(most[0], sum[0]), max(most[1], sum[1])}
+	return use, [2]float64{max(use[0], sum[0]), max(use[1], sum[1])}
 }
 
 // placed counts the placements of a claim's committed version.
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -56,10 +56,7 @@
 	{"fenced without a record if need be", "cancel.go", `return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now)`, `return false`},
 	{"the bound counts from the record", "view.go", `r.Ended != 0 && at.Before(j.ended)`, `false && at.Before(j.ended)`},
 	{"team limits are conditions", "settle.go", `return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op`, `return nil, []ledger.Op`},
-	{"team use by the record", "settle.go", `	if n.epoch >= t.stamp && len(n.orphans) == 0 {
-		use = sum
-	}
-	return use, [2]float64{max(most[0], sum[0]), max(most[1], sum[1])}`, `	return sum, sum`},
+	{"team use by the record", "settle.go", `	return use, [2]float64{max(use[0], sum[0]), max(use[1], sum[1])}`, `	return sum, sum`},
 	{"404 is confirmed", "users.go", `	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
 		switch {
 		case err == nil && !known:`, `	func(do func(error)) { do(nil) }(func(err error) {
