--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -67,13 +67,16 @@
 // not wait for a record any longer.
 func (n *Node) enforceCancel(j *job, m *machine, now time.Time) bool {
 	age, limit := now.Sub(j.ended), n.cfg.Workers.Cancel
-	silent := m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard)
+	s := n.shards[m.rec.Shard]
+	// Not when all of them are silent to this node: on a day with such troubles it
+	// fenced healthy machines for the one task that was cancelled on each.
+	silent := m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard) && !n.ownFault(s, now)
 	if age <= limit*2/5 && !silent {
 		return false
 	}
 	if m.rec.State == "" && !m.returning {
 		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref, "after", age, "silent", silent)
-		n.returnMachine(n.shards[m.rec.Shard], m)
+		n.returnMachine(s, m)
 	}
 	return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now)
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -589,17 +589,24 @@
 	if quiet <= fence || m.returning || !m.mute.After(m.heard) {
 		return
 	}
-	// Machines that fell silent together do not all look silent for as long:
-	// each has its own beat. More than a beat without hearing from nearly all of
-	// them tells that this node is cut off, before the first is due for fencing.
-	beat := n.cfg.Workers.Report * 13 / 10
-	if silent, total := n.silentShare(s, beat, now); s.name == n.cfg.Node && n.otherLive() != "" && total >= 3 && silent*10 >= total*8 && quiet < 3*fence {
+	if n.ownFault(s, now) && quiet < 3*fence {
 		return // cutOff deals with it
 	}
 	n.log.Info("fencing a silent machine", "host", m.host, "silent", quiet)
 	n.returnMachine(s, m)
 }
 
+// ownFault tells that nearly all of a shard's machines are silent together, which
+// speaks for a fault of this node's own links. Machines that fell silent together
+// do not all look silent for as long: each has its own beat. More than a beat
+// without hearing from nearly all of them tells it, before the first is due for
+// fencing.
+func (n *Node) ownFault(s *shard, now time.Time) bool {
+	beat := n.cfg.Workers.Report * 13 / 10
+	silent, total := n.silentShare(s, beat, now)
+	return s.name == n.cfg.Node && n.otherLive() != "" && total >= 3 && silent*10 >= total*8
+}
+
 // probeTimeout is no multiple of the probe loop's period: whether a probe ended
 // before or after the pass at the same instant would be left to chance.
 const probeTimeout = 1480 * time.Millisecond
