--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -314,7 +314,7 @@
 			}
 			if err != nil {
 				n.log.Info("cannot register", "err", err)
-				if errors.Is(err, ledger.ErrInvalid) {
+				if errors.Is(err, ledger.ErrNoGrant) {
 					permit = 0 // the lease ended before it was used
 				}
 				pause(ctx, 200*time.Millisecond)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -104,8 +104,8 @@
 	if status < 429 && status != 0 {
 		c.lastOK.Store(time.Now().UnixNano())
 	}
-	if out != nil && len(resp) > 0 && (status == 200 || status == 409 || status == 404) {
-		if err := protocol.Decode(resp, out); err != nil {
+	if out != nil && len(resp) > 0 && (status == 200 || status == 409 || status == 404 || status == 400) {
+		if err := protocol.Decode(resp, out); err != nil && status != 400 { // that one's body need not be ours
 			return status, fmt.Errorf("decode %s: %w", target, err)
 		}
 	}
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -420,7 +420,7 @@
 	}
 	var out wireResult
 	status, err := c.call(ctx, "POST", protocol.PathMulti, body, &out, txnTimeout)
-	c.settle(ctx, batch, status, out.Epoch, out.Failed, err)
+	c.settle(ctx, batch, status, out, err)
 	c.mu.Lock()
 	c.inflight--
 	c.mu.Unlock()
@@ -428,7 +428,7 @@
 }
 
 // settle gives each transaction of a batch its result or sends it again.
-func (c *Client) settle(ctx context.Context, batch []*Txn, status int, epoch uint64, failed []string, err error) {
+func (c *Client) settle(ctx context.Context, batch []*Txn, status int, out wireResult, err error) {
 	var again []*Txn
 	pause := time.Duration(0)
 	switch {
@@ -442,13 +442,15 @@
 		again, pause = batch, 100*time.Millisecond
 	case status == 200:
 		for _, t := range batch {
-			t.Done(Result{Epoch: epoch})
+			t.Done(Result{Epoch: out.Epoch})
 		}
 	case status == 409:
-		again = c.sortFailed(batch, failed, epoch)
+		again = c.sortFailed(batch, out.Failed, out.Epoch)
+	case status == 400 && out.Error == noSuchLease:
+		again = c.sortLeased(batch)
 	case status == 400:
 		if len(batch) == 1 {
-			c.log.Error("transaction refused as malformed", "ops", len(batch[0].Ops))
+			c.log.Error("transaction refused as malformed", "reason", out.Error, "keys", keysOf(batch[0]))
 			batch[0].Done(Result{Err: ErrInvalid})
 			break
 		}
@@ -470,6 +472,45 @@
 	c.queue(again...)
 }
 
+// noSuchLease is the reason that the state service gives when a key was to hang
+// on a lease that has ended. Nothing is malformed about that: a process that
+// stood still for a while sends such a transaction when it goes on.
+const noSuchLease = "no such lease"
+
+// sortLeased ends those of a batch that need a lease, and sends the others
+// again: which of several leases has ended is not told, and whoever has a live
+// one decides anew soon. Taken for malformed, one of them had all its
+// neighbours sent one by one.
+func (c *Client) sortLeased(batch []*Txn) (again []*Txn) {
+	for _, t := range batch {
+		if !slices.ContainsFunc(t.Ops, func(op Op) bool { return op.Grant != 0 }) {
+			again = append(again, t)
+			continue
+		}
+		c.log.Info("lease of a transaction has ended", "keys", keysOf(t))
+		err := ErrNoGrant
+		if t.unsure {
+			err = errors.Join(ErrNoGrant, ErrUnknown) // an earlier sending may have been carried out
+		}
+		t.Done(Result{Err: err})
+	}
+	if len(again) == len(batch) { // not one that this client understands
+		for _, t := range again {
+			t.Done(Result{Err: ErrInvalid})
+		}
+		return nil
+	}
+	return again
+}
+
+func keysOf(t *Txn) []string {
+	keys := make([]string, 0, len(t.Ops))
+	for _, op := range t.Ops {
+		keys = append(keys, op.Key)
+	}
+	return keys
+}
+
 func (c *Client) sortFailed(batch []*Txn, failed []string, epoch uint64) (again []*Txn) {
 	for _, t := range batch {
 		var mine []string
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -195,6 +195,27 @@
 	}
 }
 
+// A lease that has ended is no fault of the transactions beside it, which were
+// sent one by one once, nor is the transaction that names it malformed.
+func TestEndedLeaseSparesNeighbours(t *testing.T) {
+	s := &script{answer: func(n int, body string) (int, string, error) {
+		if strings.Contains(body, `"permit":7`) {
+			return 400, `{"error":"no such lease"}`, nil
+		}
+		return 200, `{"epoch":6}`, nil
+	}}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) {
+		c.Submit(set("a", 1, done("a")))
+		leased := set("b", 1, done("b"))
+		leased.Ops[0].Grant = 7
+		c.Submit(leased)
+		c.Submit(set("c", 1, done("c")))
+	})
+	if got["a"] != nil || !errors.Is(got["b"], ErrNoGrant) || got["c"] != nil || len(s.bodies) != 2 {
+		t.Fatalf("%v in %d requests: %v", got, len(s.bodies), s.bodies)
+	}
+}
+
 // A chunk of any legal size fits a small value.
 func TestBitmapIsShort(t *testing.T) {
 	c := &Claim{Count: protocol.MaxTasks}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -1,11 +1,13 @@
 package transport
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -23,62 +25,95 @@
 	sockets     chan struct{}
 
 	mu   sync.Mutex
-	idle map[string][]idleConn
+	idle map[string][]*idleConn
+	old  list.List // of *idleConn, the longest idle first
+	open int       // connections in use, idle, or being made
 }
 
 type idleConn struct {
 	net.Conn
+	addr  string
 	since time.Time
+	at    *list.Element
 }
 
-// NewClient makes a client that holds at most sockets connections at once.
+// NewClient makes a client that holds at most sockets connections at once, idle
+// ones included. Idle ones were not counted once: after a takeover one was kept
+// for each machine of two shards, and a process stood short of its last socket.
 func NewClient(sockets, maxIdle int, dial time.Duration) *Client {
 	return &Client{
 		DialTimeout: dial,
 		Limits:      Limits{Head: 16 << 10, Body: 64 << 20},
 		MaxIdle:     maxIdle,
 		sockets:     make(chan struct{}, sockets),
-		idle:        make(map[string][]idleConn),
+		idle:        make(map[string][]*idleConn),
 	}
 }
 
 const idleKeep = 45 * time.Second
 
+// take gives an idle connection to an address, or nil and leave to make one. The
+// caller of a nil has to count the new one off with closed.
 func (c *Client) take(addr string) net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[addr]
-	for len(list) > 0 {
+	for list := c.idle[addr]; len(list) > 0; list = c.idle[addr] {
 		ic := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idle[addr] = list
+		c.unlink(ic)
 		if time.Since(ic.since) < idleKeep {
 			return ic.Conn
 		}
+		c.open--
 		ic.Close()
 	}
-	delete(c.idle, addr)
+	// The longest idle make room: those whose time is over in any case.
+	for e := c.old.Front(); e != nil; e = c.old.Front() {
+		ic := e.Value.(*idleConn)
+		if c.open < cap(c.sockets) && time.Since(ic.since) < idleKeep {
+			break
+		}
+		c.unlink(ic)
+		c.open--
+		ic.Close()
+	}
+	c.open++
 	return nil
 }
 
+// unlink takes a connection out of the idle ones.
+func (c *Client) unlink(ic *idleConn) {
+	c.old.Remove(ic.at)
+	list := slices.DeleteFunc(c.idle[ic.addr], func(x *idleConn) bool { return x == ic })
+	if c.idle[ic.addr] = list; len(list) == 0 {
+		delete(c.idle, ic.addr)
+	}
+}
+
 func (c *Client) put(addr string, conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[addr]) >= c.MaxIdle {
+		c.open--
 		conn.Close()
 		return
 	}
-	c.idle[addr] = append(c.idle[addr], idleConn{conn, time.Now()})
+	ic := &idleConn{Conn: conn, addr: addr, since: time.Now()}
+	ic.at = c.old.PushBack(ic)
+	c.idle[addr] = append(c.idle[addr], ic)
 }
 
-// Forget closes the idle connections to an address that is no longer wanted.
-func (c *Client) Forget(addr string) {
+// closed counts a connection off that was not kept.
+func (c *Client) closed() {
+	c.mu.Lock()
+	c.open--
+	c.mu.Unlock()
+}
+
+// Open counts the connections that are held now.
+func (c *Client) Open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, ic := range c.idle[addr] {
-		ic.Close()
-	}
-	delete(c.idle, addr)
+	return c.open
 }
 
 // Do makes one call and returns the status and body of its answer.
@@ -94,6 +129,7 @@
 		d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
 		var err error
 		if conn, err = d.DialContext(ctx, "tcp4", addr); err != nil {
+			c.closed()
 			return 0, nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
@@ -103,6 +139,7 @@
 			c.put(addr, conn)
 		} else {
 			conn.Close()
+			c.closed()
 		}
 	}()
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -61,3 +61,47 @@
 		t.Fatalf("a refused connection must count as not sent, got %v", err)
 	}
 }
+
+// A client of so many sockets holds no more, idle ones included: an owner that
+// had talked to the machines of two shards stood short of its last socket.
+func TestClientBoundsIdleConnections(t *testing.T) {
+	c := NewClient(2, 1, time.Second)
+	for range 5 {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					in := make([]byte, 4096)
+					for {
+						if _, err := conn.Read(in); err != nil {
+							return
+						}
+						if _, err := conn.Write(AppendResponse(nil, Response{Status: 200})); err != nil {
+							return
+						}
+					}
+				}()
+			}
+		}()
+		for range 2 { // the second time over the idle connection
+			if status, _, err := c.Do(t.Context(), ln.Addr().String(), "GET", "/", nil); err != nil || status != 200 {
+				t.Fatalf("%d %v", status, err)
+			}
+			if c.Open() > 2 {
+				t.Fatalf("%d connections are held", c.Open())
+			}
+		}
+	}
+	if c.Open() != 2 {
+		t.Fatalf("%d connections are kept, wanted the two latest", c.Open())
+	}
+}
