--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -21,6 +21,10 @@
 // restarts. They do not wait for settling, which leaves a claim alone while a
 // version of it is being committed, and in an outage that is all along.
 
+// hearOthers is the time in which whoever is there has spoken: peers do so every
+// second.
+const hearOthers = 2500 * time.Millisecond
+
 // enforceCancels looks at the machines that may keep tasks of cancelled jobs.
 func (n *Node) enforceCancels(now time.Time) {
 	var bare []string // to be returned without a record
@@ -70,7 +74,7 @@
 	s := n.shards[m.rec.Shard]
 	// Not when all of them are silent to this node: on a day with such troubles it
 	// fenced healthy machines for the one task that was cancelled on each.
-	silent := m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard) && !n.ownFault(s, now)
+	silent := m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard) && !n.ownFault(s, now) && !n.zoneCut(m.rec.Zone, now)
 	if age <= limit*2/5 && !silent {
 		return false
 	}
@@ -78,7 +82,9 @@
 		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref, "after", age, "silent", silent)
 		n.returnMachine(s, m)
 	}
-	return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now)
+	// A process that has just gone on after standing still knows the age alone, not
+	// what others have done about it meanwhile.
+	return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now) && n.beat.Settled(now, hearOthers)
 }
 
 // keptUnowned tells, for a machine of a shard that this node may not act for,
@@ -87,7 +93,7 @@
 // that answers is not its business, one that does not is returned without a
 // record, which any node may do.
 func (n *Node) keptUnowned(j *job, m *machine, p *place, now time.Time) bool {
-	if now.Sub(j.ended) <= n.cfg.Workers.Cancel/2 || m.rec.State != "" || n.refusedAlone(now) {
+	if now.Sub(j.ended) <= n.cfg.Workers.Cancel/2 || m.rec.State != "" || n.refusedAlone(now) || !n.beat.Settled(now, hearOthers) {
 		return false
 	}
 	if t := m.tasks[p.name]; m.heard.After(j.ended) && (t == nil || t.Phase == protocol.TaskExited) {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -476,7 +476,7 @@
 
 // hireFor hires for the work that neither free nor coming room can take.
 func (n *Node) hireFor(now time.Time) {
-	supply := n.supply()
+	supply := n.supply(now)
 	wants, arrays := n.wants(now)
 	var need []offer
 	for _, w := range wants {
@@ -665,7 +665,7 @@
 }
 
 // supply is the room of all machines, there or coming, of every shard.
-func (n *Node) supply() []*room {
+func (n *Node) supply(now time.Time) []*room {
 	var out []*room
 	for _, name := range n.shardNames() {
 		// Only the owner sees that a machine fails its tasks. The leader counted
@@ -673,7 +673,7 @@
 		barred := n.loads[name].load.Barred
 		for _, m := range n.shards[name].machines {
 			t := n.types[m.rec.Type]
-			if t == nil || m.sick || m.returning || !m.warned.IsZero() || slices.Contains(barred, m.host) {
+			if t == nil || m.sick || m.returning || !m.warned.IsZero() || slices.Contains(barred, m.host) || n.zoneCut(m.rec.Zone, now) {
 				continue
 			}
 			r := &room{m: m, host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t, shard: m.rec.Shard}
@@ -755,6 +755,9 @@
 		like.Spot = false // idle cheap machines are not kept as warm room, so they would come and go for ever
 		zones := n.cfg.Zones
 		for i, zone := range zones {
+			if n.zoneCut(zone, now) {
+				continue // what is rented there could not be reached
+			}
 			part := warm / len(zones)
 			if i < warm%len(zones) {
 				part++
@@ -888,6 +891,9 @@
 			continue
 		}
 		for _, zone := range t.Zones {
+			if n.zoneCut(zone, now) {
+				continue
+			}
 			for _, spot := range []bool{true, false} {
 				o := offer{t, zone, spot, w.shard}
 				if !allowed(w.spec, name, zone, spot) || !zones.permits(zone) || (w.zone != "" && w.zone != zone) || now.Before(n.refused[o.key()]) {
--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -97,6 +97,7 @@
 	if j := n.jobs[c.ref]; j != nil {
 		n.hungry[c.ref] = j
 	}
+	n.pressing = n.pressing || (c.spec != nil && c.spec.Shape != protocol.Array)
 	if live {
 		n.mark(c)
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -16,6 +16,7 @@
 	"madderslip/internal/ledger"
 	"madderslip/internal/policy"
 	"madderslip/internal/protocol"
+	"madderslip/internal/recovery"
 )
 
 // Ledger is the state service as this package uses it.
@@ -30,6 +31,7 @@
 	Share(live int)
 	Saw(key string, stamp uint64, exists bool)
 	LastOK() time.Time
+	Backlog(prio int) (changes int, rate float64)
 }
 
 // Caller makes HTTP calls to workers and the cloud.
@@ -97,6 +99,10 @@
 	stateOKAt  map[string]time.Time
 	ratios     map[string]float64   // class: observed run time over the estimate
 	refused    map[string]time.Time // type/zone/kind: not to be asked for before
+	beat       recovery.Beat
+	pressing   bool                 // something is new that should not wait
+	heardFrom  map[string]time.Time // when the other controllers last spoke
+	cutSeen    map[string]time.Time // zones that seemed cut off, and when last
 	fleet      fleetState
 	soughtWide time.Time // when jobs wider than any shard were last sought
 	cardsAt    time.Time // when a job with cards was last seen to come in
@@ -160,6 +166,7 @@
 		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost), gathers: make(map[string]*gathering),
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
+		heardFrom: make(map[string]time.Time), cutSeen: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
 		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
--- /dev/null
+++ b/internal/coordination/outlook.go
@@ -0,0 +1,112 @@
+package coordination
+
+import (
+	"time"
+
+	"madderslip/internal/protocol"
+	"madderslip/internal/recovery"
+	"madderslip/internal/transport"
+)
+
+// The loops ask package recovery what to make of silence, and hand it what they
+// know. Its verdicts are advice: they put fences off or keep leases, and prove
+// nothing.
+
+// look notes that this process runs. What it slept through is told from others'
+// silence, and logged.
+func (n *Node) look(now time.Time) {
+	if still := n.beat.Look(now); still > 0 {
+		n.log.Info("this process stood still", "for", still)
+	}
+}
+
+// weighZones works out which zones seem to be cut off.
+func (n *Node) weighZones(now time.Time) {
+	if len(n.cfg.Zones) < 2 {
+		return
+	}
+	var signs []recovery.Sign
+	for _, s := range n.shards {
+		if !n.active(s) {
+			continue
+		}
+		for _, m := range s.machines {
+			// A machine that has not reported to this process may be booting, unless
+			// something was placed there.
+			if m.rep != nil || len(m.use.places) > 0 {
+				signs = append(signs, recovery.Sign{Zone: m.rec.Zone, Silent: n.silence(m, now)})
+			}
+		}
+	}
+	witnesses := make([]recovery.Witness, 0, len(n.cfg.Peers))
+	for _, p := range n.cfg.Peers {
+		_, live := n.nodes[p.Node]
+		witnesses = append(witnesses, recovery.Witness{Zone: p.Zone, Live: live || now.Sub(n.heardFrom[p.Node]) < n.pol.NodeLease})
+	}
+	beat := n.cfg.Workers.Report * 13 / 10
+	for zone := range recovery.CutZones(n.cfg.Zone, signs, beat, witnesses) {
+		if !n.zoneCut(zone, now) {
+			n.log.Info("a zone seems cut off, its machines are not fenced for a while", "zone", zone)
+		}
+		n.cutSeen[zone] = now
+	}
+}
+
+// zoneCut tells whether a zone seems cut off, or seemed so until just now: once
+// the cut is over its workers take a while to come back, and whoever had not yet
+// been heard was fenced for the silence of the whole cut.
+func (n *Node) zoneCut(zone string, now time.Time) bool {
+	at, seen := n.cutSeen[zone]
+	return seen && now.Sub(at) < n.cfg.Workers.Lease
+}
+
+// fenceAfter is how long a machine may be silent.
+func (n *Node) fenceAfter(m *machine, usual time.Duration, now time.Time) time.Duration {
+	return recovery.Fence(usual, n.pol.ZonePatience, n.zoneCut(m.rec.Zone, now))
+}
+
+// keepLease answers a worker of a shard that this node does not own, if it is to
+// keep the lease alive: with the shard's token and without orders.
+func (n *Node) keepLease(s *shard, r *protocol.Report, now time.Time) (transport.Response, bool) {
+	w := recovery.Word{State: n.led.LastOK(), Owner: n.heardFrom[s.rec.Owner]}
+	if r.Token > s.stamp || !recovery.KeepLease(w, now, n.pol.NodeLease) {
+		return transport.Response{}, false
+	}
+	b, err := protocol.Encode(protocol.ReportAnswer{Token: s.stamp, Commands: []protocol.Command{}})
+	if err != nil {
+		return transport.Response{}, false
+	}
+	return transport.Response{Status: 200, Body: b}, true
+}
+
+// turn is how long this node lets others take a shard first whose owner's lease
+// has ended.
+func (n *Node) turn() time.Duration {
+	machines := make(map[string]int)
+	for _, s := range n.shards {
+		if s.rec != nil {
+			machines[s.rec.Owner] += len(s.machines)
+		}
+	}
+	var all []recovery.Candidate
+	for name := range n.nodes {
+		all = append(all, recovery.Candidate{Node: name, Machines: machines[name]})
+	}
+	return recovery.Turn(n.cfg.Node, all)
+}
+
+// backlog is what waits ahead of a transaction of a priority.
+func (n *Node) backlog(prio int, now time.Time) recovery.Backlog {
+	b := recovery.Backlog{Down: now.Sub(n.led.LastOK()) > downAfter}
+	b.Waiting, b.Rate = n.led.Backlog(prio)
+	return b
+}
+
+// downAfter is how long nothing may have been executed before users are turned
+// away at once rather than in the end: more than a lease renewal's beat.
+const downAfter = 2500 * time.Millisecond
+
+// later turns a user away, and says when to come back.
+func (n *Node) later(prio int, now time.Time) transport.Response {
+	return unavailable(int(n.backlog(prio, now).ComeBack(n.rng.Float64()) / time.Second))
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -91,6 +91,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	n.heardFrom[msg.From] = now
 	if msg.StateOK {
 		n.stateOKAt[msg.From] = now
 	}
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -9,11 +9,11 @@
 
 	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
+	"madderslip/internal/recovery"
 )
 
 const (
 	gatherNews = time.Millisecond
-	passGap    = 15 * time.Millisecond // passes are at least this far apart
 	passEvery  = 500 * time.Millisecond
 	resendGap  = 700 * time.Millisecond
 	retryClaim = time.Second
@@ -21,6 +21,9 @@
 	sweepEvery = 5 * time.Second
 )
 
+// pace leaves most of the time to answers, however long passes take.
+var pace = recovery.Pace{Share: 0.25, Least: 15 * time.Millisecond, Most: 150 * time.Millisecond}
+
 // workLoop compares placements with reports and the queue with the room there
 // is, whenever something changed and a few times a second.
 func (n *Node) workLoop(ctx context.Context) {
@@ -38,12 +41,14 @@
 		tick.Stop()
 		n.mu.Lock()
 		began := time.Now()
+		n.look(began)
+		urgent := n.pressing
 		if n.loaded {
+			n.pressing = false
 			n.pass(began)
 		}
 		n.mu.Unlock()
-		// Passes leave most of the time to answers, however long they take.
-		if !pause(ctx, max(passGap, 3*time.Since(began))) {
+		if !pause(ctx, pace.Pause(time.Since(began), urgent)) {
 			return
 		}
 	}
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -11,15 +11,16 @@
 // shard is a set of machines with one owner at a time. token is the revision
 // at which this process acquired it, or 0 when it does not own it.
 type shard struct {
-	name    string
-	rec     *ledger.Shard
-	stamp   uint64
-	token   uint64
-	since   time.Time // when this process acquired it
-	busy    bool
-	raise   bool // a new token is wanted, to void commands of unknown fate
-	raised  time.Time
-	drained time.Time // when a machine was last emptied to be returned
+	name      string
+	rec       *ledger.Shard
+	stamp     uint64
+	token     uint64
+	since     time.Time // when this process acquired it
+	busy      bool
+	raise     bool // a new token is wanted, to void commands of unknown fate
+	raised    time.Time
+	ownerless time.Time // since when its owner is seen to be away
+	drained   time.Time // when a machine was last emptied to be returned
 
 	machines []*machine          // in use, by name
 	kinds    map[machineKind]int // how many there are of each kind
@@ -109,8 +110,9 @@
 func (n *Node) shardLoop(ctx context.Context) {
 	for pause(ctx, 200*time.Millisecond) {
 		n.mu.Lock()
+		now := time.Now()
+		n.look(now)
 		if n.loaded && n.permit != 0 {
-			now := time.Now()
 			for _, name := range n.shardNames() {
 				if s := n.shards[name]; !s.busy {
 					n.tendShard(s, now)
@@ -150,7 +152,15 @@
 			n.giveAway(s, to, now)
 		}
 	case s.rec.Owner != me:
-		if _, ownerLive := n.nodes[s.rec.Owner]; !ownerLive {
+		if _, ownerLive := n.nodes[s.rec.Owner]; ownerLive {
+			s.ownerless = time.Time{}
+		} else {
+			if s.ownerless.IsZero() {
+				s.ownerless = now
+			}
+			if s.name != me && now.Sub(s.ownerless) < n.turn() {
+				return
+			}
 			// The home node, if it lives, has the first turn.
 			if homeLive && s.name != me && now.Sub(home.since) < 2*time.Second {
 				return
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -103,9 +103,14 @@
 		reply(jobResponse(200, a))
 		return
 	}
-	if !n.loaded {
+	now := time.Now()
+	switch {
+	case !n.loaded:
 		reply(unavailable(1))
 		return
+	case n.backlog(ledger.PrioUser, now).Down:
+		reply(n.later(ledger.PrioUser, now))
+		return
 	}
 	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
 		switch {
@@ -124,7 +129,7 @@
 			}
 			reply(jobResponse(200, now))
 		default:
-			reply(unavailable(1))
+			reply(n.later(ledger.PrioUser, time.Now()))
 		}
 	})
 }
@@ -205,6 +210,11 @@
 // follows at once.
 func (n *Node) accept(spec *protocol.Submission, reply func(transport.Response)) {
 	now := time.Now()
+	if b := n.backlog(ledger.PrioUser, now); b.Down || b.Refuse(submitWithin) {
+		// It would be told so in the end; so it is told at once.
+		reply(n.later(ledger.PrioUser, now))
+		return
+	}
 	at := n.chooseShards(spec, now)
 	rec := &ledger.Job{Spec: spec, At: at, Born: now.UnixMilli(), Size: n.chunkSize(spec, at)}
 	key := ledger.JobKeys + spec.Ref
@@ -240,9 +250,9 @@
 				n.acceptPlain(key, rec, reply) // only the claim failed
 				return
 			}
-			reply(unavailable(1))
+			reply(n.later(ledger.PrioUser, time.Now()))
 		default:
-			reply(unavailable(1))
+			reply(n.later(ledger.PrioUser, time.Now()))
 		}
 	})
 }
@@ -250,7 +260,7 @@
 func (n *Node) acceptPlain(key string, rec *ledger.Job, reply func(transport.Response)) {
 	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: 0}}, []ledger.Op{{Key: key, Value: rec}}, submitWithin/2, func(err error) {
 		if err != nil {
-			reply(unavailable(1))
+			reply(n.later(ledger.PrioUser, time.Now()))
 			return
 		}
 		reply(jobResponse(201, protocol.JobAnswer{Ref: rec.Spec.Ref, Phase: protocol.Pending}))
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -209,6 +209,7 @@
 	}
 	j.rec, j.stamp = r, stamp
 	n.hungry[ref] = j
+	n.pressing = n.pressing || (r.Spec != nil && r.Spec.Shape != protocol.Array)
 	if r.Final() && j.ended.IsZero() {
 		j.ended = time.Now()
 		// What counts is when its user was told, not when this process heard of it:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -314,6 +314,7 @@
 		return
 	}
 	n.mu.Lock()
+	n.look(time.Now())
 	resp := n.report(r)
 	n.mu.Unlock()
 	reply(resp)
@@ -337,6 +338,9 @@
 	s := n.shards[m.rec.Shard]
 	if s == nil || s.token == 0 {
 		if s != nil && s.rec != nil && s.rec.Owner != n.cfg.Node {
+			if kept, ok := n.keepLease(s, r, time.Now()); ok {
+				return kept
+			}
 			if _, live := n.nodes[s.rec.Owner]; live {
 				return steward(s.rec.Owner)
 			}
@@ -552,6 +556,9 @@
 	if m.adoptedAt.After(since) {
 		since = m.adoptedAt
 	}
+	if woke := n.beat.Woke(); woke.After(since) {
+		since = woke // its silence while this process stood still is this process's own
+	}
 	return now.Sub(since)
 }
 
@@ -560,6 +567,8 @@
 	for pause(ctx, 300*time.Millisecond) {
 		n.mu.Lock()
 		now := time.Now()
+		n.look(now)
+		n.weighZones(now)
 		for _, name := range n.shardNames() {
 			if s := n.shards[name]; n.active(s) {
 				for _, m := range s.machines {
@@ -580,7 +589,7 @@
 		if m.listed != "" && quiet > n.pol.Suspect && !m.probing {
 			n.probe(m)
 		}
-		if quiet > 2*n.pol.Fence && len(m.use.places) > 0 && !m.returning {
+		if quiet > n.fenceAfter(m, 2*n.pol.Fence, now) && len(m.use.places) > 0 && !m.returning {
 			n.log.Info("fencing a machine that does not come to its new owner", "host", m.host)
 			n.returnMachine(s, m)
 		}
@@ -597,6 +606,7 @@
 	if !m.warned.IsZero() {
 		fence = n.pol.Suspect // it was announced to go
 	}
+	fence = n.fenceAfter(m, fence, now)
 	// A direct question must have failed since: reports alone may be held up.
 	if quiet <= fence || m.returning || !m.mute.After(m.heard) {
 		return
@@ -627,7 +637,7 @@
 // its reports do not arrive.
 func (n *Node) probe(m *machine) {
 	m.probing = true
-	addr, ctx := m.address(), n.ctx
+	addr, ctx, began := m.address(), n.ctx, time.Now()
 	go func() {
 		var r protocol.Report
 		status, err := n.call(ctx, addr, "GET", protocol.PathShow, nil, &r, probeTimeout)
@@ -638,6 +648,9 @@
 			n.observe(m, &r)
 			return
 		}
-		m.mute = time.Now()
+		n.look(time.Now())
+		if began.After(n.beat.Woke()) {
+			m.mute = time.Now() // else nobody was there to hear the answer
+		}
 	}()
 }
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -300,6 +300,25 @@
 	return k
 }
 
+// Backlog is how many changes wait that go before a new transaction of a
+// priority, and how many a second the budget allows. Comparisons count as a
+// change for as many as go together in a request.
+func (c *Client) Backlog(prio int) (changes int, rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reads := 0
+	for _, t := range c.pending {
+		switch {
+		case t.Prio > prio:
+		case len(t.Ops) == 0:
+			reads++
+		default:
+			changes += len(t.Ops)
+		}
+	}
+	return changes + reads/max(1, c.lim.TxnOps), float64(c.writes.Limit())
+}
+
 // Saw tells of a version of a key seen elsewhere. Transactions that wait and
 // depend on an older one have failed already; sending them would only spend
 // the budget, which failing changes take from as much as others.
--- a/internal/protocol/routes.go
+++ b/internal/protocol/routes.go
@@ -54,6 +54,13 @@
 	return found, ""
 }
 
+// FromUser tells whether a request comes from a user, not from a worker or the
+// load balancer.
+func FromUser(method, target string) bool {
+	route, _ := Match(method, target)
+	return route != WorkerReport && route != Ready
+}
+
 // Paths of the services that controllers call.
 const (
 	PathCommands     = "/commands"
--- /dev/null
+++ b/internal/recovery/zone.go
@@ -0,0 +1,91 @@
+// Package recovery decides what a controller does when more has failed than
+// budgets allow to mend at once: whether a zone is cut off or its machines are
+// dead, who takes a dead neighbour's shard over, what the time means that a
+// process has slept through, how processor time and sockets are shared out, and
+// when those that are turned away should come back.
+//
+// All of it is decisions: what is known and the time go in, what to do comes
+// out. Nothing here has a clock, a lock or a connection; the loops of
+// coordination carry it out, and none of the rules depend on it being right.
+package recovery
+
+import "time"
+
+// Sign is what an owner knows of one of its machines.
+type Sign struct {
+	Zone   string
+	Silent time.Duration // since it gave the last sign of life
+}
+
+// Witness is a controller as another one sees it.
+type Witness struct {
+	Zone string
+	Live bool // its lease holds, or it has spoken just now
+}
+
+// fewest is how many machines it takes to speak of a zone.
+const fewest = 3
+
+// CutZones tells which zones seem to be cut off from everything, as one
+// controller sees it: nearly all of the machines it knows there have been silent
+// for longer than a beat, no controller there is live, and machines elsewhere are
+// heard, so that the fault is not its own. A zone's machines hardly die all
+// together with its controllers; behind a cut they go on working.
+//
+// Its own zone is never taken for cut off: whoever is inside a cut sees the rest
+// of the world silent.
+func CutZones(own string, signs []Sign, beat time.Duration, controllers []Witness) map[string]bool {
+	type count struct{ silent, total int }
+	zones := make(map[string]count)
+	heard, elsewhere := make(map[string]int), 0
+	for _, s := range signs {
+		c := zones[s.Zone]
+		c.total++
+		if s.Silent > beat {
+			c.silent++
+		} else {
+			heard[s.Zone]++
+			elsewhere++
+		}
+		zones[s.Zone] = c
+	}
+	cut := make(map[string]bool)
+	for zone, c := range zones {
+		if zone == own || c.total < fewest || c.silent*10 < c.total*8 || elsewhere-heard[zone] < fewest {
+			continue
+		}
+		witnessed := false
+		for _, w := range controllers {
+			witnessed = witnessed || (w.Zone == zone && w.Live)
+		}
+		if !witnessed {
+			cut[zone] = true
+		}
+	}
+	return cut
+}
+
+// Word is when a controller last heard from those that matter for a lease.
+type Word struct {
+	State time.Time // the state service executed a call
+	Owner time.Time // the shard's owner spoke
+}
+
+// KeepLease tells whether a controller that does not own a shard keeps the leases
+// of its machines, with the shard's token as recorded and without any order:
+// when it hears neither the state service nor the owner, it is cut off from both,
+// and so are the workers that turn to it. To send them back to the owner, as is
+// done otherwise, lets their leases run out and with them all that they run.
+func KeepLease(w Word, now time.Time, deaf time.Duration) bool {
+	return now.Sub(w.State) > deaf && now.Sub(w.Owner) > deaf
+}
+
+// Fence is how long a machine may be silent before it is given up for lost.
+// Behind a cut its work most likely goes on, so it is given the patience of a
+// cut; once that is over, the zone is not waited for any longer.
+func Fence(usual, patience time.Duration, cut bool) time.Duration {
+	if cut {
+		return max(usual, patience)
+	}
+	return usual
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -17,7 +17,11 @@
 // ServerConfig bounds the public server.
 type ServerConfig struct {
 	Addr     string
-	MaxConns int
+	MaxConns int // connections open at once
+	// A connection whose first request is a user's is closed beyond so many that
+	// are open, of whatever kind: the rest is for workers, whose leases run out.
+	MaxUsers int
+	IsUser   func(method, target string) bool
 	Limits   Limits
 	Idle     time.Duration // an idle connection is closed after this
 	Stall    time.Duration // a half-sent request is cut off after this
@@ -42,6 +46,7 @@
 	inline  bool // the event loop is inside the handler and will look at out itself
 	closing bool
 	told100 bool
+	known   bool // its first request has come
 	touched time.Time
 }
 
@@ -160,6 +165,14 @@
 			break
 		}
 		pc.told100 = false
+		if first := !pc.known; first {
+			pc.known = true
+			if s.cfg.IsUser != nil && int(s.open.Load()) > s.cfg.MaxUsers && s.cfg.IsUser(m.Start[0], m.Start[1]) {
+				pc.out = AppendResponse(pc.out, Response{Status: 503, Body: []byte(`{"error":"too many connections"}`), RetryAfter: 2, Close: true})
+				pc.closing = true
+				break
+			}
+		}
 		body := append([]byte(nil), m.Body...)
 		pc.in = append(pc.in[:0], pc.in[n:]...)
 		if len(pc.in) == 0 && cap(pc.in) > 16384 {
--- a/madderslip.go
+++ b/madderslip.go
@@ -17,6 +17,7 @@
 	"madderslip/internal/ledger"
 	"madderslip/internal/policy"
 	"madderslip/internal/protocol"
+	"madderslip/internal/recovery"
 	"madderslip/internal/transport"
 )
 
@@ -63,10 +64,9 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	s := cfg.Settings
-	// Sockets: most for users and workers, the rest for calls of our own.
-	own := max(16, min(300, s.Machine.MaxConns/4))
-	worker := transport.NewClient(own, 1, time.Second)
-	state := transport.NewClient(24, 8, time.Second)
+	sockets := recovery.ShareSockets(s.Machine.MaxConns, len(s.Peers))
+	worker := transport.NewClient(sockets.Calls, 1, time.Second)
+	state := transport.NewClient(sockets.State, 8, time.Second)
 	led := ledger.New(state, s.State, s.StateLimit, cfg.Log)
 	c := &Controller{cfg: cfg, led: led}
 	callers := make(map[string]coordination.PeerCaller)
@@ -82,7 +82,7 @@
 	c.node = coordination.New(coordination.Options{Settings: s, Policy: cfg.Policy, Ledger: led, HTTP: worker,
 		Peers: callers, Log: cfg.Log, Rand: rand.New(rand.NewPCG(seed, 1))})
 	c.pub = transport.NewServer(transport.ServerConfig{
-		Addr: s.PublicAddr, MaxConns: max(8, s.Machine.MaxConns-own-80),
+		Addr: s.PublicAddr, MaxConns: sockets.Public, MaxUsers: sockets.Users, IsUser: protocol.FromUser,
 		Limits: transport.Limits{Head: 8 << 10, Body: 64 << 10},
 		Idle:   90 * time.Second, Stall: 10 * time.Second,
 	}, c.node.Handle, cfg.Log)
