--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// returnWithin bounds the time for which a decision to return a machine waits to
+// be recorded: one that waited for an outage to end took away machines that had
+// long been heard again.
+const returnWithin = 4 * time.Second
+
 // returnMachine records that a machine goes back. The record is final: from
 // then on nothing is placed there, whoever owns the shard.
 func (n *Node) returnMachine(s *shard, m *machine) {
@@ -97,7 +102,7 @@
 	rec := m.rec
 	rec.State = ledger.Returning
 	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
-		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 0, func(error) { m.returning = false })
+		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, returnWithin, func(error) { m.returning = false })
 }
 
 // toReturn lists the machines whose return is recorded and not carried out.
--- a/internal/coordination/outlook.go
+++ b/internal/coordination/outlook.go
@@ -25,6 +25,7 @@
 	if len(n.cfg.Zones) < 2 {
 		return
 	}
+	beat := n.cfg.Workers.Report * 13 / 10
 	var signs []recovery.Sign
 	for _, s := range n.shards {
 		if !n.active(s) {
@@ -32,9 +33,12 @@
 		}
 		for _, m := range s.machines {
 			// A machine that has not reported to this process may be booting, unless
-			// something was placed there.
-			if m.rep != nil || len(m.use.places) > 0 {
-				signs = append(signs, recovery.Sign{Zone: m.rec.Zone, Silent: n.silence(m, now)})
+			// something was placed there. One that has not done so since its shard was
+			// taken over says nothing until it should have: counted as heard, those of a
+			// dead neighbour hid the cut until their new owner had fenced its own.
+			silent := n.silence(m, now)
+			if (m.rep != nil || len(m.use.places) > 0) && (m.heard.After(m.adoptedAt) || silent > beat) {
+				signs = append(signs, recovery.Sign{Zone: m.rec.Zone, Silent: silent})
 			}
 		}
 	}
@@ -43,7 +47,6 @@
 		_, live := n.nodes[p.Node]
 		witnesses = append(witnesses, recovery.Witness{Zone: p.Zone, Live: live || now.Sub(n.heardFrom[p.Node]) < n.pol.NodeLease})
 	}
-	beat := n.cfg.Workers.Report * 13 / 10
 	for zone := range recovery.CutZones(n.cfg.Zone, signs, beat, witnesses) {
 		if !n.zoneCut(zone, now) {
 			n.log.Info("a zone seems cut off, its machines are not fenced for a while", "zone", zone)
@@ -72,11 +75,31 @@
 	if r.Token > s.stamp || !recovery.KeepLease(w, now, n.pol.NodeLease) {
 		return transport.Response{}, false
 	}
-	b, err := protocol.Encode(protocol.ReportAnswer{Token: s.stamp, Commands: []protocol.Command{}})
-	if err != nil {
+	for i := range r.Tasks {
+		ref, _, _ := protocol.SplitTask(r.Tasks[i].Task)
+		if j := n.jobs[ref]; r.Tasks[i].Phase != protocol.TaskExited && (n.cancelled[ref] != nil || (j == nil && n.final[ref].state != "")) {
+			return transport.Response{}, false // nobody here can stop that but the end of its lease
+		}
+	}
+	return withoutOrders(s.stamp)
+}
+
+// keepUnread does the same for a node that began behind a cut and has read no
+// records: the worker's own token is the only one it knows.
+func (n *Node) keepUnread(r *protocol.Report, now time.Time) (transport.Response, bool) {
+	u := recovery.Unread{Up: now.Sub(n.boot), Heard: n.led.LastOK().After(n.boot) || len(n.types) > 0 || len(n.heardFrom) > 0}
+	for _, p := range n.cfg.Peers {
+		u.Isolated = u.Isolated || p.Zone != n.cfg.Zone
+	}
+	if r.Token == 0 || !recovery.KeepUnread(u, n.cfg.Workers.Cancel, n.cfg.Workers.Lease) {
 		return transport.Response{}, false
 	}
-	return transport.Response{Status: 200, Body: b}, true
+	return withoutOrders(r.Token)
+}
+
+func withoutOrders(token uint64) (transport.Response, bool) {
+	b, err := protocol.Encode(protocol.ReportAnswer{Token: token, Commands: []protocol.Command{}})
+	return transport.Response{Status: 200, Body: b}, err == nil
 }
 
 // turn is how long this node lets others take a shard first whose owner's lease
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -322,6 +322,9 @@
 
 func (n *Node) report(r *protocol.Report) transport.Response {
 	if !n.loaded {
+		if kept, ok := n.keepUnread(r, time.Now()); ok {
+			return kept
+		}
 		return unavailable(1)
 	}
 	m := n.machines[r.Host]
@@ -614,6 +617,9 @@
 	if n.ownFault(s, now) && quiet < 3*fence {
 		return // cutOff deals with it
 	}
+	if now.Sub(n.led.LastOK()) > downAfter {
+		return // nothing can be recorded now; it may be heard before that changes
+	}
 	n.log.Info("fencing a silent machine", "host", m.host, "silent", quiet)
 	n.returnMachine(s, m)
 }
--- a/internal/recovery/zone.go
+++ b/internal/recovery/zone.go
@@ -80,6 +80,33 @@
 	return now.Sub(w.State) > deaf && now.Sub(w.Owner) > deaf
 }
 
+// Unread is what a controller knows that has not read its records since it began.
+type Unread struct {
+	Up       time.Duration // for how long it has run
+	Heard    bool          // state service, cloud or another controller have spoken since
+	Isolated bool          // there are controllers in other zones that should have
+}
+
+// settleIn is how long a controller needs to hear from others after its start,
+// when all is well.
+const settleIn = 1500 * time.Millisecond
+
+// restartTime is how long a controller may have been away before its start.
+const restartTime = 10 * time.Second
+
+// KeepUnread tells whether a controller that could not read its records keeps the
+// leases of the workers that turn to it, each with the token that it shows itself
+// and without any order: it began behind a cut, and nobody else can.
+//
+// It does not know which jobs are cancelled, and an order to stop may have been
+// lost with the process before it. So it does so only for as long as even a task
+// that was cancelled then is gone in time once its lease runs out; and not in an
+// outage of the state service alone, in which no other controller might know
+// either.
+func KeepUnread(u Unread, cancel, lease time.Duration) bool {
+	return u.Isolated && !u.Heard && u.Up > settleIn && u.Up < cancel-lease-restartTime
+}
+
 // Fence is how long a machine may be silent before it is given up for lost.
 // Behind a cut its work most likely goes on, so it is given the patience of a
 // cut; once that is over, the zone is not waited for any longer.
