--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -46,7 +46,7 @@
 		case needList:
 			n.listMachines(ctx)
 		}
-		pause(ctx, 150*time.Millisecond)
+		n.pause(ctx, 150*time.Millisecond)
 	}
 }
 
@@ -227,7 +227,7 @@
 // fleetLoop works off the difference between the machines there should be and
 // those there are: owners return what is idle, the leader hires.
 func (n *Node) fleetLoop(ctx context.Context) {
-	for pause(ctx, 700*time.Millisecond) {
+	for n.pause(ctx, 700*time.Millisecond) {
 		n.mu.Lock()
 		if n.loaded && len(n.types) > 0 {
 			now := time.Now()
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -107,6 +107,7 @@
 	soughtWide time.Time // when jobs wider than any shard were last sought
 	cardsAt    time.Time // when a job with cards was last seen to come in
 	ctx        context.Context
+	stand      func(context.Context)
 }
 
 type nodeSeen struct {
@@ -152,6 +153,9 @@
 	Peers    map[string]PeerCaller
 	Log      *slog.Logger
 	Rand     *rand.Rand
+	// Stand, if set, is called before each turn of a loop and waits for as long as
+	// the process is to stand still: tests freeze a controller with it.
+	Stand func(context.Context)
 }
 
 // New makes a node; Run starts its loops.
@@ -171,6 +175,9 @@
 		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
 	}
+	if n.stand = o.Stand; n.stand == nil {
+		n.stand = func(context.Context) {}
+	}
 	n.shard(n.cfg.Node)
 	for _, p := range n.cfg.Peers {
 		n.shard(p.Node)
@@ -207,6 +214,15 @@
 	}
 }
 
+// pause waits between two turns of a loop.
+func (n *Node) pause(ctx context.Context, d time.Duration) bool {
+	if !pause(ctx, d) {
+		return false
+	}
+	n.stand(ctx)
+	return ctx.Err() == nil
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -228,7 +244,7 @@
 		items, epoch, err := n.led.List(ctx)
 		if err != nil {
 			n.log.Info("cannot read the state service", "err", err)
-			pause(ctx, 500*time.Millisecond)
+			n.pause(ctx, 500*time.Millisecond)
 			continue
 		}
 		n.mu.Lock()
@@ -243,7 +259,7 @@
 			}
 			if err != nil {
 				n.log.Debug("watch", "err", err)
-				pause(ctx, 300*time.Millisecond)
+				n.pause(ctx, 300*time.Millisecond)
 				continue
 			}
 			n.mu.Lock()
@@ -254,7 +270,7 @@
 			n.epoch = max(n.epoch, epoch)
 			n.mu.Unlock()
 			n.poke()
-			pause(ctx, watchPause)
+			n.pause(ctx, watchPause)
 		}
 	}
 }
@@ -290,14 +306,14 @@
 		mine := permit != 0 && live.stamp != 0 && n.permit == permit
 		n.mu.Unlock()
 		if !loaded {
-			pause(ctx, 50*time.Millisecond)
+			n.pause(ctx, 50*time.Millisecond)
 			continue
 		}
 		if permit == 0 {
 			p, err := n.led.Grant(ctx, ttl)
 			if err != nil {
 				n.log.Info("no lease", "err", err)
-				pause(ctx, 300*time.Millisecond)
+				n.pause(ctx, 300*time.Millisecond)
 				continue
 			}
 			permit = p
@@ -324,11 +340,11 @@
 				if errors.Is(err, ledger.ErrNoGrant) {
 					permit = 0 // the lease ended before it was used
 				}
-				pause(ctx, 200*time.Millisecond)
+				n.pause(ctx, 200*time.Millisecond)
 				continue
 			}
 		}
-		pause(ctx, ttl/3)
+		n.pause(ctx, ttl/3)
 		if err := n.led.Extend(ctx, permit); errors.Is(err, ledger.ErrNoGrant) {
 			n.log.Info("lease ended")
 			permit = 0
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -12,7 +12,7 @@
 
 // peerLoop tells the other controllers this node's load every second.
 func (n *Node) peerLoop(ctx context.Context) {
-	for pause(ctx, time.Second) {
+	for n.pause(ctx, time.Second) {
 		n.mu.Lock()
 		msg := n.message()
 		n.mu.Unlock()
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -35,8 +35,9 @@
 			return
 		case <-n.kick:
 			// What came together is looked at together.
-			pause(ctx, gatherNews)
+			n.pause(ctx, gatherNews)
 		case <-tick.C:
+			n.stand(ctx)
 		}
 		tick.Stop()
 		n.mu.Lock()
@@ -48,7 +49,7 @@
 			n.pass(began)
 		}
 		n.mu.Unlock()
-		if !pause(ctx, pace.Pause(time.Since(began), urgent)) {
+		if !n.pause(ctx, pace.Pause(time.Since(began), urgent)) {
 			return
 		}
 	}
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -108,7 +108,7 @@
 // shardLoop works off the difference between who should own each shard and
 // who does.
 func (n *Node) shardLoop(ctx context.Context) {
-	for pause(ctx, 200*time.Millisecond) {
+	for n.pause(ctx, 200*time.Millisecond) {
 		n.mu.Lock()
 		now := time.Now()
 		n.look(now)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -567,7 +567,7 @@
 
 // probeLoop asks silent machines directly and fences those that stay silent.
 func (n *Node) probeLoop(ctx context.Context) {
-	for pause(ctx, 300*time.Millisecond) {
+	for n.pause(ctx, 300*time.Millisecond) {
 		n.mu.Lock()
 		now := time.Now()
 		n.look(now)
--- a/internal/schedule/calm.go
+++ b/internal/schedule/calm.go
@@ -25,7 +25,7 @@
 // over nothing of it is left anywhere.
 func (c *cluster) calm() error {
 	c.w.Calm(calmSpare)
-	for _, name := range names {
+	for _, name := range c.names {
 		if err := c.start(name); err != nil {
 			return err
 		}
@@ -37,7 +37,7 @@
 	}
 	for _, j := range c.w.Accepted() {
 		if j.Fails || j.Shape == protocol.Service {
-			if got := c.w.Insist(names[0], func(node string) int { return c.w.Abort(node, j.Ref) }); got != 200 {
+			if got := c.w.Insist(c.names[0], func(node string) int { return c.w.Abort(node, j.Ref) }); got != 200 {
 				return fmt.Errorf("unanswered: the abort of %s got %d after calm", j.Ref, got)
 			}
 		}
@@ -92,7 +92,7 @@
 func (c *cluster) settled() error {
 	for _, j := range c.w.Accepted() {
 		final := 0
-		for _, name := range names {
+		for _, name := range c.names {
 			status, a := c.w.Query(name, j.Ref)
 			if status != 200 {
 				return fmt.Errorf("not_answered: %s answers %d for %s after calm", name, status, j.Ref)
@@ -102,7 +102,7 @@
 			}
 		}
 		switch {
-		case final == len(names):
+		case final == len(c.names):
 		case final > 0 || (j.Shape != protocol.Service && !j.Fails):
 			return fmt.Errorf("not_final: %s is final at %d controllers after calm", j.Ref, final)
 		case !j.Fails:
@@ -129,7 +129,7 @@
 	if hosts := c.w.Rented(); len(hosts) > 0 {
 		return fmt.Errorf("leaked: %v are rented and unused", hosts)
 	}
-	for _, name := range names {
+	for _, name := range c.names {
 		c.mu.Lock()
 		p := c.nodes[name]
 		c.mu.Unlock()
--- a/internal/schedule/cluster.go
+++ b/internal/schedule/cluster.go
@@ -26,11 +26,26 @@
 	"madderslip/internal/standin"
 )
 
-// Names are the controllers of a cluster.
-var names = [...]string{"n0", "n1", "n2"}
+// usual is how many controllers a cluster has, unless its script says otherwise.
+const usual = 3
+
+// controllers names so many controllers.
+func controllers(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprint("n", i)
+	}
+	return names
+}
 
-// cluster is three controllers in a stand-in world.
+// zoneOf is the zone of a controller: they take turns.
+func zoneOf(names []string, name string) string {
+	return []string{"a", "b"}[slices.Index(names, name)%2]
+}
+
+// cluster is some controllers in a stand-in world.
 type cluster struct {
+	names  []string
 	ctx    context.Context
 	seed   uint64
 	w      *standin.World
@@ -50,8 +65,8 @@
 }
 
 // settings are what the platform hands to a controller.
-func settings(name string) protocol.Settings {
-	s := protocol.Settings{Node: name, Zone: "a", Cloud: "cloud", State: "state", Nodes: len(names), Zones: []string{"a", "b"},
+func settings(names []string, name string) protocol.Settings {
+	s := protocol.Settings{Node: name, Zone: zoneOf(names, name), Cloud: "cloud", State: "state", Nodes: len(names), Zones: []string{"a", "b"},
 		Teams: map[string]protocol.Team{"open": {Name: "open"}, "tight": {Name: "tight", CPUsMax: 4}, "cards": {Name: "cards", GPUs: 2, GMax: 4},
 			"lent": {Name: "lent", CPUs: 8, CPUsMax: 16}},
 		Workers: protocol.WorkerSettings{Report: 2 * time.Second, Lease: 12 * time.Second, GangWait: 30 * time.Second,
@@ -61,18 +76,22 @@
 		Machine:    protocol.MachineLimits{CPUShare: 0.3, RAMBytes: 128 << 20, MaxConns: 1000}}
 	for _, other := range names {
 		if other != name {
-			s.Peers = append(s.Peers, protocol.Peer{Node: other, Zone: "a", Addr: other})
+			s.Peers = append(s.Peers, protocol.Peer{Node: other, Zone: zoneOf(names, other), Addr: other})
 		}
 	}
 	return s
 }
 
-func newCluster(ctx context.Context, seed uint64) *cluster {
-	s := settings(names[0])
-	c := &cluster{ctx: ctx, seed: seed, nodes: make(map[string]*process)}
+func newCluster(ctx context.Context, seed uint64, count int) *cluster {
+	names := controllers(count)
+	s := settings(names, names[0])
+	c := &cluster{names: names, ctx: ctx, seed: seed, nodes: make(map[string]*process)}
 	c.w = standin.NewWorld(ctx, seed, s.Workers, s.Teams)
 	c.w.State.Limit(s.StateLimit.RPS, s.StateLimit.WriteRPS)
 	c.w.Lag = s.CloudLimit.ListLag
+	for _, name := range names {
+		c.w.SetZone(name, zoneOf(names, name))
+	}
 	c.w.Types = append(c.w.Types, protocol.MachineType{Name: "g2", CPUs: 16, GPUs: 2, MemGB: 64, CacheGB: 50, PullGBps: 1, Price: 6, SpotPrice: 2, BootS: 12, Zones: []string{"a", "b"}})
 	return c
 }
@@ -108,7 +127,7 @@
 	if c.nodes[name] != nil {
 		return nil
 	}
-	s := settings(name)
+	s := settings(c.names, name)
 	pol, err := policy.Load(c.policy, s)
 	if err != nil {
 		return err
@@ -126,7 +145,8 @@
 	}
 	h := fnv.New64a()
 	h.Write([]byte(name))
-	n := coordination.New(coordination.Options{Settings: s, Policy: pol, Ledger: led, HTTP: link, Peers: peers, Log: log, Rand: rand.New(rand.NewPCG(c.seed, h.Sum64()))})
+	n := coordination.New(coordination.Options{Settings: s, Policy: pol, Ledger: led, HTTP: link, Peers: peers, Log: log, Rand: rand.New(rand.NewPCG(c.seed, h.Sum64())),
+		Stand: func(ctx context.Context) { c.w.Stand(ctx, name) }})
 	p := &process{node: n, stop: stop, ended: make(chan struct{})}
 	c.nodes[name] = p
 	c.w.Note("%s starts", name)
--- a/internal/schedule/generate.go
+++ b/internal/schedule/generate.go
@@ -15,7 +15,7 @@
 // that come in storms, since single ones are covered by the kept traces.
 func Script() *rapid.Generator[string] {
 	return rapid.Custom(func(t *rapid.T) string {
-		d := &draft{t: t}
+		d := &draft{t: t, names: controllers(usual)}
 		d.fleet()
 		for range d.number("storms", 1, 3) {
 			d.storm(d.moment("storm", 7*time.Second, 50*time.Second))
@@ -40,6 +40,7 @@
 	t      *rapid.T
 	steps  []step
 	jobs   int
+	names  []string
 	noEnds [][2]time.Duration // no controller ends in between
 }
 
@@ -75,7 +76,7 @@
 	return d.moment("lasts", 200*time.Millisecond, longest[d.number("how long", 0, 3)])
 }
 
-func (d *draft) node() string { return names[d.number("node", 0, len(names)-1)] }
+func (d *draft) node() string { return d.names[d.number("node", 0, len(d.names)-1)] }
 
 func (d *draft) host() string { return fmt.Sprintf("%06d", d.number("host", 1, 9)) }
 
@@ -84,6 +85,13 @@
 }
 
 func (d *draft) fleet() {
+	if d.yes(15, "many controllers") {
+		d.names = controllers(d.number("controllers", 4, 7))
+		d.add(0, "controllers %d", len(d.names))
+	}
+	if d.yes(4, "many machines") {
+		d.add(0, "machines %d %s", d.number("many", 40, 150), d.pick("zone", "a", "b"))
+	}
 	d.add(0, "machines %d a", d.number("in a", 1, 4))
 	d.add(0, "machines %d b", d.number("in b", 1, 3))
 	if d.yes(35, "cheap ones") {
@@ -165,7 +173,7 @@
 // of them may stay away for longer.
 func (d *draft) kill(node string, at time.Duration) {
 	longest := 8 * time.Second
-	if node == names[2] {
+	if node == d.names[2] {
 		longest = 25 * time.Second
 	}
 	d.add(at, "kill %s for %s", node, d.moment("away", 500*time.Millisecond, longest))
@@ -192,6 +200,9 @@
 	if d.yes(50, "knot") {
 		d.knot(at)
 	}
+	if d.yes(35, "tangle") {
+		d.tangle(at)
+	}
 	for range d.number("troubles", 1, 5) {
 		d.any(within())
 	}
@@ -250,6 +261,77 @@
 	}
 }
 
+// tangle draws events of whole processes and zones that are hard together.
+func (d *draft) tangle(at time.Duration) {
+	soon := func() time.Duration { return at + d.moment("soon", 0, 4*time.Second) }
+	freeze := func(at time.Duration) {
+		d.add(at, "freeze %s on for %s", d.pick("who", d.node(), d.node(), d.node(), "all"), d.moment("still", 500*time.Millisecond, 25*time.Second))
+	}
+	cut := func(at time.Duration) {
+		d.add(at, "zone %s cut for %s", d.pick("zone", "a", "b"), d.moment("cut", time.Second, 45*time.Second))
+	}
+	switch d.pick("tangle", "freeze", "freeze", "zone", "zone", "death", "death of the returned", "all end", "handed back") {
+	case "freeze":
+		// Its shard is taken over, and a job of it aborted, while it stands still.
+		job := d.quiet(at-d.moment("before", 0, 4*time.Second), "")
+		freeze(soon())
+		if d.yes(60, "aborted") {
+			d.add(soon(), "user %s abort %s", d.node(), job)
+		}
+		if d.yes(40, "another") {
+			freeze(soon())
+		}
+		if d.yes(40, "hang") {
+			d.machine(fmt.Sprint("@", job), "hang", soon())
+		}
+		if d.yes(30, "limited") {
+			d.quiet(soon(), fmt.Sprintf("array tasks=%d run=%d team=tight", d.number("tasks", 4, 12), d.number("run", 2, 8)))
+		}
+	case "zone":
+		job := d.quiet(at-d.moment("before", 2*time.Second, 6*time.Second), "")
+		cut(soon())
+		if d.yes(40, "outage") {
+			d.outage(soon(), 14*time.Second)
+		}
+		if d.yes(40, "one ends") {
+			d.kill(d.node(), soon())
+		}
+		if d.yes(50, "aborted") {
+			d.add(soon(), "user %s abort %s", d.node(), job)
+		}
+		if d.yes(30, "freeze") {
+			freeze(soon())
+		}
+	case "death":
+		d.add(soon(), "death %d", d.number("percent", 10, 70))
+		if d.yes(50, "stingy") {
+			d.trouble("stingy", soon())
+		}
+		if d.yes(40, "outage") {
+			d.outage(soon(), 14*time.Second)
+		}
+	case "death of the returned":
+		// Machines die while they are being returned, or fenced.
+		d.add(soon(), "wave notice")
+		d.machine(d.host(), "hang", soon())
+		d.add(soon()+d.moment("later", 0, 12*time.Second), "death %d", d.number("percent", 20, 60))
+		if d.yes(50, "cloud") {
+			d.add(soon(), "trouble cloud on for %s", d.moment("lasts", 200*time.Millisecond, 10*time.Second))
+		}
+	case "all end":
+		cut(soon())
+		d.kill("all", soon())
+		if d.yes(50, "twice") {
+			d.kill("all", soon()+d.moment("later", 8*time.Second, 15*time.Second))
+		}
+	case "handed back":
+		// A controller comes back for its shard while its successor stands still.
+		d.add(at, "kill %s for %s", d.names[0], d.moment("away", 5*time.Second, 8*time.Second))
+		d.add(at+d.moment("then", 6*time.Second, 16*time.Second), "freeze %s on for %s", d.names[1], d.moment("still", time.Second, 12*time.Second))
+		d.add(at+d.moment("then", 6*time.Second, 16*time.Second), "freeze %s on for %s", d.names[2], d.moment("still", time.Second, 12*time.Second))
+	}
+}
+
 // knot draws events that are known to be hard together, close to one another
 // and in any order.
 func (d *draft) knot(at time.Duration) {
@@ -297,7 +379,7 @@
 			d.add(at+d.moment("about", 0, 1500*time.Millisecond), "vm %s cut for %s", d.host(), d.moment("held", 300*time.Millisecond, 11*time.Second))
 		}
 		if d.yes(60, "its sender ends") {
-			d.add(at+d.moment("then", 0, 2*time.Second), "kill %s for %s", d.pick("who", "all", names[0], names[1]), d.moment("away", 300*time.Millisecond, 3*time.Second))
+			d.add(at+d.moment("then", 0, 2*time.Second), "kill %s for %s", d.pick("who", "all", d.names[0], d.names[1]), d.moment("away", 300*time.Millisecond, 3*time.Second))
 		}
 		if d.yes(40, "aborted") {
 			d.add(soon(), "user %s abort %s", d.node(), job)
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -56,7 +56,7 @@
 // whose clock is the script's.
 func Play(script string, seed uint64) *Outcome {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := newCluster(ctx, seed)
+	c := newCluster(ctx, seed, controllersOf(script))
 	defer func() {
 		for _, name := range c.live() {
 			c.kill(name)
@@ -67,7 +67,7 @@
 	}()
 	out := &Outcome{}
 	began := time.Now()
-	for _, name := range names {
+	for _, name := range c.names {
 		if out.Err = c.start(name); out.Err != nil {
 			return out
 		}
@@ -111,6 +111,20 @@
 	return out
 }
 
+// controllersOf reads how many controllers a script wants: its first line may
+// say "0s controllers 5".
+func controllersOf(script string) int {
+	for _, line := range cut(script) {
+		f := strings.Fields(line)
+		if len(f) >= 3 && f[1] == "controllers" {
+			if n, err := strconv.Atoi(f[2]); err == nil && n > 0 && n <= 16 {
+				return n
+			}
+		}
+	}
+	return usual
+}
+
 // after names what ends a thing that a line has begin.
 var after = map[string]string{"kill": "start", "on": "off", "hang": "resume", "cut": "heal", "sick": "well", "slow": "well"}
 
@@ -154,7 +168,7 @@
 		return ""
 	}
 	each := func(do func(string) error) error {
-		for _, name := range names {
+		for _, name := range c.names {
 			if arg(1) == name || arg(1) == "all" {
 				if err := do(name); err != nil {
 					return err
@@ -171,6 +185,20 @@
 			typ = c.w.Types[0].Name
 		}
 		c.w.AddKind(n, typ, arg(2), arg(4) == "cheap")
+	case "controllers": // controllers COUNT: see controllersOf
+	case "zone": // zone ZONE cut|heal
+		c.w.Trouble("zone "+arg(1), arg(2) == "cut")
+	case "freeze": // freeze NODE on|off, or all
+		return each(func(name string) error { c.w.Trouble("freeze "+name, arg(2) == "on"); return nil })
+	case "death": // death PERCENT [ZONE]: so many of the machines die at once
+		percent, _ := strconv.Atoi(arg(1))
+		hosts := c.w.Hosts(false)
+		if arg(2) != "" {
+			hosts = c.w.InZone(arg(2))
+		}
+		for _, host := range hosts[:(len(hosts)*percent+99)/100] {
+			c.w.Set(host, "die")
+		}
 	case "spare": // spare COUNT: what the cloud has left to rent
 		n, _ := strconv.Atoi(arg(1))
 		c.w.SetSpare(n)
@@ -200,7 +228,7 @@
 		c.w.Trouble("deaf "+arg(1), arg(2) == "on")
 	case "trouble": // trouble NAME [NODE] on|off
 		c.w.Trouble(strings.Join(f[1:len(f)-1], " "), f[len(f)-1] == "on")
-	case "vm": // vm HOST hang|resume|cut|heal|sick|slow|well|notice|take
+	case "vm": // vm HOST hang|resume|cut|heal|sick|slow|well|notice|take|die
 		host := "vm-" + arg(1)
 		if ref, ok := strings.CutPrefix(arg(1), "@"); ok { // @REF: the machine of a task of the job's
 			host = c.w.HostOf(ref)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -43,11 +43,7 @@
 		if m.born.After(asOf) || (m.gone && m.goneAt.Before(asOf)) {
 			continue
 		}
-		phase := "running"
-		if m.up.After(asOf) {
-			phase = "booting"
-		}
-		list.Hosts = append(list.Hosts, protocol.ListedMachine{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Spot: m.spot, Phase: phase,
+		list.Hosts = append(list.Hosts, protocol.ListedMachine{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Spot: m.spot, Phase: m.listedAs(asOf),
 			HeldS: asOf.Sub(m.born).Seconds()})
 	}
 	return reply(200, list)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -84,6 +84,9 @@
 func (w *World) Ask(node, method, target string, body []byte, timeout time.Duration) (int, []byte) {
 	w.mu.Lock()
 	h := w.nodes[node]
+	if w.apart(w.zoneOf[node], "") {
+		h = nil // users are in no zone
+	}
 	there, back := w.between(100*time.Microsecond, time.Millisecond, node, target), w.between(100*time.Microsecond, time.Millisecond, node, target)
 	w.mu.Unlock()
 	if h == nil || !wait(w.ctx, there) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -21,6 +21,7 @@
 	born, up        time.Time
 	goneAt          time.Time
 	gone, hung      bool
+	dead            bool // it has stopped with all that was on it, and is listed still
 	cutOff          bool // no packets in or out; what is sent is held and comes late
 	sick            bool // every task that starts here fails
 	slow            bool // tasks take four times as long
@@ -85,7 +86,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m := w.machines[host]
-	if m == nil || m.gone {
+	if m == nil || m.gone || (m.dead && what != "take") {
 		return
 	}
 	hung, cutOff := m.hung, m.cutOff
@@ -101,6 +102,9 @@
 		m.cutOff = true
 	case "heal":
 		m.cutOff = false
+	case "die":
+		m.die()
+		return
 	case "sick":
 		m.sick = true
 	case "slow":
@@ -223,7 +227,7 @@
 		}
 		w.mu.Lock()
 		gone := m.gone
-		if !m.hung {
+		if !m.hung && !m.dead {
 			m.expire()
 		}
 		w.mu.Unlock()
@@ -252,7 +256,7 @@
 func (m *Machine) report() time.Duration {
 	w := m.w
 	w.mu.Lock()
-	if m.gone || m.hung || len(w.names) == 0 {
+	if m.gone || m.hung || m.dead || len(w.names) == 0 {
 		w.mu.Unlock()
 		return time.Second
 	}
@@ -273,6 +277,14 @@
 		w.mu.Unlock()
 		return 4 * time.Second
 	}
+	if h != nil && !m.reached(name) {
+		if w.chance(50, m.host, tick) {
+			w.hold(m.zone, w.zoneOf[name], func() { go h("POST", reportPath, body, func(transport.Response) {}) })
+		}
+		m.node++
+		w.mu.Unlock()
+		return 5 * time.Second
+	}
 	if h == nil {
 		m.node++
 		w.mu.Unlock()
@@ -295,7 +307,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if m.gone || m.hung || m.cutOff || m.session != session || w.trouble["deaf "+name] {
+	if m.gone || m.hung || m.dead || m.cutOff || m.session != session || w.trouble["deaf "+name] || !m.reached(name) {
 		return time.Second
 	}
 	switch r.Status {
@@ -326,11 +338,24 @@
 
 // toWorker carries a controller's call. Across a cut, or to a hung machine,
 // it is held and executed late, though the caller has long given up.
-func (w *World) toWorker(ctx context.Context, host, target string, body []byte, back time.Duration) (int, []byte, error) {
+func (w *World) toWorker(ctx context.Context, node, host, target string, body []byte, back time.Duration) (int, []byte, error) {
 	w.mu.Lock()
 	m := w.machines[host]
-	if m == nil || m.gone || m.cutOff || m.hung {
-		if m != nil && !m.gone && target == protocol.PathCommands {
+	if m != nil && !m.gone && !m.dead && !m.hung && !m.cutOff && !m.reached(node) {
+		if target == protocol.PathCommands {
+			w.hold(m.zone, w.zoneOf[node], func() {
+				if !m.gone && !m.dead && !m.hung && !m.cutOff {
+					m.expire()
+					m.commands(body)
+				}
+			})
+		}
+		w.mu.Unlock()
+		<-ctx.Done()
+		return 0, nil, errReset
+	}
+	if m == nil || m.gone || m.dead || m.cutOff || m.hung {
+		if m != nil && !m.gone && !m.dead && target == protocol.PathCommands {
 			w.held[host] = append(w.held[host], func() { m.commands(body) })
 		}
 		w.mu.Unlock()
@@ -528,7 +553,7 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !m.gone && m.session == session && m.tasks[name] == t && t.phase != protocol.TaskExited {
+		if !m.gone && !m.dead && m.session == session && m.tasks[name] == t && t.phase != protocol.TaskExited {
 			if m.hung {
 				m.after(name, t, time.Second, do)
 				return
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,6 +47,7 @@
 	began    time.Time
 	Types    []protocol.MachineType
 	spare    int // machines that the cloud has left to rent
+	faults
 }
 
 // NewWorld makes an empty world.
@@ -54,7 +55,7 @@
 	world := &World{State: newState(), Workers: w, Teams: teams, ctx: ctx, seed: seed, rolls: make(map[uint64]uint64),
 		nodes: make(map[string]NodeHandler), trouble: make(map[string]bool),
 		machines: make(map[string]*Machine), hires: make(map[string][]string), jobs: make(map[string]*Job), aborted: make(map[string]bool),
-		held: make(map[string][]func()), began: time.Now(),
+		held: make(map[string][]func()), began: time.Now(), faults: newFaults(),
 		Types: []protocol.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 50, PullGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}}
 	go world.State.run(ctx)
 	go world.check()
@@ -123,9 +124,14 @@
 	if !slices.Contains(w.names, name) {
 		w.names = append(w.names, name)
 	}
-	w.nodes[name] = h
+	w.lives[name]++
 	if h == nil {
 		delete(w.nodes, name)
+		return
+	}
+	life := w.lives[name]
+	w.nodes[name] = func(method, target string, body []byte, reply func(transport.Response)) {
+		w.alive(name, life, func() { h(method, target, body, reply) })
 	}
 }
 
@@ -137,6 +143,9 @@
 //	swallow        every transaction is carried out and no answer arrives
 //	refuse NODE    the state service refuses one node alone
 //	deaf NODE      a node reaches no worker and hears none
+//	freeze NODE    a node stands still while clocks run on
+//	zone ZONE      a zone is cut off from everything; what is sent across is held and
+//	               arrives afterwards
 //	alone NODE     the other controllers reach a node as little as it reaches them
 //	cloud          the cloud is in trouble and answers 503
 //	stingy         the cloud has no machines
@@ -144,8 +153,12 @@
 //	lost           answers of the cloud get lost, and some requests are carried out late
 func (w *World) Trouble(name string, on bool) {
 	w.mu.Lock()
+	was := w.trouble[name]
 	w.trouble[name] = on
 	w.note("%s %v", name, on)
+	if was != on {
+		w.zoneTrouble(name, on)
+	}
 	w.mu.Unlock()
 	if name == "outage" {
 		w.State.setDown(on)
@@ -200,6 +213,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer context.AfterFunc(l.Ctx, cancel)()
 	defer cancel()
+	w.Stand(l.Ctx, l.Node)
+	defer w.Stand(l.Ctx, l.Node) // whatever comes back is heard when the process goes on
 	what := []string{l.Node, addr, target, string(body)}
 	w.mu.Lock()
 	there, back := w.between(300*time.Microsecond, 3*time.Millisecond, what...), w.between(300*time.Microsecond, 3*time.Millisecond, what...)
@@ -213,6 +228,26 @@
 	if !wait(ctx, there) {
 		return 0, nil, errReset
 	}
+	if addr == "state" || addr == "cloud" {
+		w.mu.Lock()
+		if zone := w.zoneOf[l.Node]; w.apart(zone, "") {
+			if w.chance(50, what...) {
+				w.hold(zone, "", func() {
+					go func() {
+						if addr == "cloud" {
+							w.cloud(method, target, body)
+						} else if target == protocol.PathMulti {
+							w.State.do(w.ctx, method, target, body)
+						}
+					}()
+				})
+			}
+			w.mu.Unlock()
+			<-ctx.Done()
+			return 0, nil, errReset
+		}
+		w.mu.Unlock()
+	}
 	var do func(context.Context) (int, []byte)
 	switch {
 	case addr == "state" && refused:
@@ -225,7 +260,7 @@
 		<-ctx.Done()
 		return 0, nil, fmt.Errorf("%w: no route", transport.ErrNotSent)
 	default:
-		return w.toWorker(ctx, strings.TrimSuffix(addr, ":9000"), target, body, back)
+		return w.toWorker(ctx, l.Node, strings.TrimSuffix(addr, ":9000"), target, body, back)
 	}
 	if fate == late || fate == twice {
 		go func() {
@@ -239,7 +274,7 @@
 	if fate != late {
 		status, out = do(ctx)
 	}
-	if fate == late || fate == lost {
+	if fate == late || fate == lost || !w.across(ctx, l.Node, "") {
 		<-ctx.Done()
 	}
 	if status == 0 || !wait(ctx, back) {
@@ -278,14 +313,18 @@
 // Peer carries a message between controllers, if their links are up.
 func (w *World) Peer(ctx context.Context, from, to string, raw []byte, deliver func(context.Context, []byte) error) error {
 	w.mu.Lock()
-	refused := w.trouble["alone "+from] || w.trouble["alone "+to]
+	refused, apart := w.trouble["alone "+from] || w.trouble["alone "+to], w.apart(w.zoneOf[from], w.zoneOf[to])
 	delay := w.between(300*time.Microsecond, 3*time.Millisecond, from, to, string(raw))
 	w.mu.Unlock()
 	if refused {
 		return fmt.Errorf("%s refuses", to)
 	}
+	if apart {
+		<-ctx.Done()
+	}
 	if !wait(ctx, delay) {
 		return ctx.Err()
 	}
+	w.Stand(ctx, to)
 	return deliver(ctx, raw)
 }
