--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -97,7 +97,9 @@
 	if j := n.jobs[c.ref]; j != nil {
 		n.hungry[c.ref] = j
 	}
-	n.pressing = n.pressing || (c.spec != nil && c.spec.Shape != protocol.Array)
+	if rec := c.latest(); c.spec != nil && c.spec.Shape != protocol.Array && rec != nil && rec.Count > rec.NumDone()+len(rec.Open) {
+		n.pressing = true // tasks of it wait
+	}
 	if live {
 		n.mark(c)
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -60,10 +60,17 @@
 		queued := slices.Contains(j.rec.At, s.name) || now.Sub(j.seen) > widenAfter
 		fed := true
 		for i := range j.chunks {
-			c := n.claimOf(j, i)
+			c := j.claims[i]
+			if c == nil && !queued {
+				fed = false
+				continue
+			}
+			if c == nil {
+				c = n.claimOf(j, i)
+			}
 			if c == nil {
 				fed = false
-				if queued && now.After(j.lost[i]) {
+				if now.After(j.lost[i]) {
 					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec})
 				}
 				continue
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -22,7 +22,7 @@
 )
 
 // pace leaves most of the time to answers, however long passes take.
-var pace = recovery.Pace{Share: 0.25, Least: 15 * time.Millisecond, Most: 150 * time.Millisecond}
+var pace = recovery.Pace{Share: 0.25, Least: 15 * time.Millisecond, Calm: 50 * time.Millisecond, Most: 150 * time.Millisecond}
 
 // workLoop compares placements with reports and the queue with the room there
 // is, whenever something changed and a few times a second.
--- a/internal/recovery/pace.go
+++ b/internal/recovery/pace.go
@@ -7,6 +7,7 @@
 type Pace struct {
 	Share float64       // most of the time that passes may take
 	Least time.Duration // between two passes
+	Calm  time.Duration // the same when nothing urgent is new
 	Most  time.Duration // a pass is never put off for longer
 }
 
@@ -14,10 +15,10 @@
 // is new (no one waits for an answer within a second or so), passes take half of
 // their share: what is gathered is looked at together.
 func (p Pace) Pause(took time.Duration, urgent bool) time.Duration {
-	share := p.Share
+	share, least := p.Share, p.Least
 	if !urgent {
-		share /= 2
+		share, least = share/2, p.Calm
 	}
 	pause := time.Duration(float64(took) * (1 - share) / share)
-	return max(p.Least, min(pause, max(p.Most, 3*took)))
+	return max(least, min(pause, max(p.Most, 3*took)))
 }
