--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"madderslip/internal/ledger"
+	"madderslip/internal/recovery"
 )
 
 // shard is a set of machines with one owner at a time. token is the revision
@@ -158,7 +159,7 @@
 			if s.ownerless.IsZero() {
 				s.ownerless = now
 			}
-			if s.name != me && now.Sub(s.ownerless) < n.turn() {
+			if s.name != me && (now.Sub(s.ownerless) < n.turn() || now.Sub(self.since) < recovery.Grace) {
 				return
 			}
 			// The home node, if it lives, has the first turn.
--- a/internal/recovery/successor.go
+++ b/internal/recovery/successor.go
@@ -16,6 +16,12 @@
 // before to write its claim and the others to see it.
 const turn = 400 * time.Millisecond
 
+// Grace is how long a controller that has just come back leaves the shards of
+// others alone whose leases are over. When all end together they come back within
+// a moment of one another; whoever was first took everything, and gave it back
+// seconds later, with two new tokens and two moves for every worker.
+const Grace = 1500 * time.Millisecond
+
 // Turn is how long a controller waits before it takes over a shard whose owner's
 // lease has ended: the one that answers for the fewest machines goes first, the
 // next follows if that one did not. Whoever noticed first used to take all: of
