--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -46,7 +46,7 @@
 		case needList:
 			n.listMachines(ctx)
 		}
-		pause(ctx, 150*time.Millisecond)
+		n.pause(ctx, 150*time.Millisecond)
 	}
 }
 
@@ -87,6 +87,11 @@
 	}
 }
 
+// returnWithin bounds the time for which a decision to return a machine waits to
+// be recorded: one that waited for an outage to end took away machines that had
+// long been heard again.
+const returnWithin = 4 * time.Second
+
 // returnMachine records that a machine goes back. The record is final: from
 // then on nothing is placed there, whoever owns the shard.
 func (n *Node) returnMachine(s *shard, m *machine) {
@@ -97,7 +102,7 @@
 	rec := m.rec
 	rec.State = ledger.Returning
 	n.commit(ledger.PrioClaim, []ledger.Cond{{Key: ledger.ShardKeys + s.name, Stamp: s.token}, {Key: ledger.MachineKeys + m.host, Stamp: m.stamp}},
-		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, 0, func(error) { m.returning = false })
+		[]ledger.Op{{Key: ledger.MachineKeys + m.host, Value: &rec}}, returnWithin, func(error) { m.returning = false })
 }
 
 // toReturn lists the machines whose return is recorded and not carried out.
@@ -222,7 +227,7 @@
 // fleetLoop works off the difference between the machines there should be and
 // those there are: owners return what is idle, the leader hires.
 func (n *Node) fleetLoop(ctx context.Context) {
-	for pause(ctx, 700*time.Millisecond) {
+	for n.pause(ctx, 700*time.Millisecond) {
 		n.mu.Lock()
 		if n.loaded && len(n.types) > 0 {
 			now := time.Now()
@@ -314,14 +319,12 @@
 func (n *Node) typesWanted(s *shard, now time.Time) map[machineKind]bool {
 	wanted := make(map[machineKind]bool)
 	queue := n.queueOf(s, now)
-	for _, m := range s.machines {
-		kind := machineKind{m.rec.Type, m.rec.Zone, m.rec.Spot}
-		if _, known := wanted[kind]; known || n.types[m.rec.Type] == nil {
-			continue
+	for kind := range s.kinds {
+		if t := n.types[kind.typ]; t != nil {
+			wanted[kind] = slices.ContainsFunc(queue, func(u *unit) bool {
+				return canEver(u.spec, t) && allowed(u.spec, kind.typ, kind.zone, kind.loaner) && !n.overLimit(u)
+			})
 		}
-		wanted[kind] = slices.ContainsFunc(queue, func(u *unit) bool {
-			return canEver(u.spec, n.types[m.rec.Type]) && allowed(u.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && !n.overLimit(u)
-		})
 	}
 	return wanted
 }
@@ -478,7 +481,7 @@
 
 // hireFor hires for the work that neither free nor coming room can take.
 func (n *Node) hireFor(now time.Time) {
-	supply := n.supply()
+	supply := n.supply(now)
 	wants, arrays := n.wants(now)
 	var need []offer
 	for _, w := range wants {
@@ -667,7 +670,7 @@
 }
 
 // supply is the room of all machines, there or coming, of every shard.
-func (n *Node) supply() []*room {
+func (n *Node) supply(now time.Time) []*room {
 	var out []*room
 	for _, name := range n.shardNames() {
 		// Only the owner sees that a machine fails its tasks. The leader counted
@@ -675,7 +678,7 @@
 		barred := n.loads[name].load.Barred
 		for _, m := range n.shards[name].machines {
 			t := n.types[m.rec.Type]
-			if t == nil || m.sick || m.returning || !m.warned.IsZero() || slices.Contains(barred, m.host) {
+			if t == nil || m.sick || m.returning || !m.warned.IsZero() || slices.Contains(barred, m.host) || n.zoneCut(m.rec.Zone, now) {
 				continue
 			}
 			r := &room{m: m, host: m.host, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t, shard: m.rec.Shard}
@@ -757,6 +760,9 @@
 		like.Spot = false // idle cheap machines are not kept as warm room, so they would come and go for ever
 		zones := n.cfg.Zones
 		for i, zone := range zones {
+			if n.zoneCut(zone, now) {
+				continue // what is rented there could not be reached
+			}
 			part := warm / len(zones)
 			if i < warm%len(zones) {
 				part++
@@ -880,8 +886,8 @@
 	slices.Sort(names)
 	byZone := make(map[string]int)
 	for _, s := range n.shards {
-		for _, m := range s.machines {
-			byZone[m.rec.Zone]++
+		for k, count := range s.kinds {
+			byZone[k.zone] += count
 		}
 	}
 	for _, name := range names {
@@ -890,6 +896,9 @@
 			continue
 		}
 		for _, zone := range t.Zones {
+			if n.zoneCut(zone, now) {
+				continue
+			}
 			for _, spot := range []bool{true, false} {
 				o := offer{t, zone, spot, w.shard}
 				if !allowed(w.spec, name, zone, spot) || !zones.permits(zone) || (w.zone != "" && w.zone != zone) || now.Before(n.refused[o.key()]) {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -17,6 +16,7 @@
 	"madderslip/internal/ledger"
 	"madderslip/internal/policy"
 	"madderslip/internal/protocol"
+	"madderslip/internal/recovery"
 )
 
 // Ledger is the state service as this package uses it.
@@ -31,6 +31,7 @@
 	Share(live int)
 	Saw(key string, stamp uint64, exists bool)
 	LastOK() time.Time
+	Backlog(prio int) (changes int, rate float64)
 }
 
 // Caller makes HTTP calls to workers and the cloud.
@@ -91,16 +92,22 @@
 	returns    map[string]*machine   // their return is recorded and not carried out
 	types      map[string]*protocol.MachineType
 
-	leadStamp uint64
-	permit    uint64
-	loads     map[string]loadSeen // by shard
-	queuedNow map[string]float64  // CPUs this node queued at a shard since its last figure
-	stateOKAt map[string]time.Time
-	ratios    map[string]float64   // class: observed run time over the estimate
-	refused   map[string]time.Time // type/zone/kind: not to be asked for before
-	fleet     fleetState
-	cardsAt   time.Time // when a job with cards was last seen to come in
-	ctx       context.Context
+	leadStamp  uint64
+	permit     uint64
+	loads      map[string]loadSeen // by shard
+	queuedNow  map[string]float64  // CPUs this node queued at a shard since its last figure
+	stateOKAt  map[string]time.Time
+	ratios     map[string]float64   // class: observed run time over the estimate
+	refused    map[string]time.Time // type/zone/kind: not to be asked for before
+	beat       recovery.Beat
+	pressing   bool                 // something is new that should not wait
+	heardFrom  map[string]time.Time // when the other controllers last spoke
+	cutSeen    map[string]time.Time // zones that seemed cut off, and when last
+	fleet      fleetState
+	soughtWide time.Time // when jobs wider than any shard were last sought
+	cardsAt    time.Time // when a job with cards was last seen to come in
+	ctx        context.Context
+	stand      func(context.Context)
 }
 
 type nodeSeen struct {
@@ -146,6 +153,9 @@
 	Peers    map[string]PeerCaller
 	Log      *slog.Logger
 	Rand     *rand.Rand
+	// Stand, if set, is called before each turn of a loop and waits for as long as
+	// the process is to stand still: tests freeze a controller with it.
+	Stand func(context.Context)
 }
 
 // New makes a node; Run starts its loops.
@@ -160,10 +170,14 @@
 		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost), gathers: make(map[string]*gathering),
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
+		heardFrom: make(map[string]time.Time), cutSeen: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
 		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
 	}
+	if n.stand = o.Stand; n.stand == nil {
+		n.stand = func(context.Context) {}
+	}
 	n.shard(n.cfg.Node)
 	for _, p := range n.cfg.Peers {
 		n.shard(p.Node)
@@ -200,6 +214,15 @@
 	}
 }
 
+// pause waits between two turns of a loop.
+func (n *Node) pause(ctx context.Context, d time.Duration) bool {
+	if !pause(ctx, d) {
+		return false
+	}
+	n.stand(ctx)
+	return ctx.Err() == nil
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -221,7 +244,7 @@
 		items, epoch, err := n.led.List(ctx)
 		if err != nil {
 			n.log.Info("cannot read the state service", "err", err)
-			pause(ctx, 500*time.Millisecond)
+			n.pause(ctx, 500*time.Millisecond)
 			continue
 		}
 		n.mu.Lock()
@@ -236,7 +259,7 @@
 			}
 			if err != nil {
 				n.log.Debug("watch", "err", err)
-				pause(ctx, 300*time.Millisecond)
+				n.pause(ctx, 300*time.Millisecond)
 				continue
 			}
 			n.mu.Lock()
@@ -247,7 +270,7 @@
 			n.epoch = max(n.epoch, epoch)
 			n.mu.Unlock()
 			n.poke()
-			pause(ctx, watchPause)
+			n.pause(ctx, watchPause)
 		}
 	}
 }
@@ -283,14 +306,14 @@
 		mine := permit != 0 && live.stamp != 0 && n.permit == permit
 		n.mu.Unlock()
 		if !loaded {
-			pause(ctx, 50*time.Millisecond)
+			n.pause(ctx, 50*time.Millisecond)
 			continue
 		}
 		if permit == 0 {
 			p, err := n.led.Grant(ctx, ttl)
 			if err != nil {
 				n.log.Info("no lease", "err", err)
-				pause(ctx, 300*time.Millisecond)
+				n.pause(ctx, 300*time.Millisecond)
 				continue
 			}
 			permit = p
@@ -314,14 +337,14 @@
 			}
 			if err != nil {
 				n.log.Info("cannot register", "err", err)
-				if errors.Is(err, ledger.ErrInvalid) {
+				if errors.Is(err, ledger.ErrNoGrant) {
 					permit = 0 // the lease ended before it was used
 				}
-				pause(ctx, 200*time.Millisecond)
+				n.pause(ctx, 200*time.Millisecond)
 				continue
 			}
 		}
-		pause(ctx, ttl/3)
+		n.pause(ctx, ttl/3)
 		if err := n.led.Extend(ctx, permit); errors.Is(err, ledger.ErrNoGrant) {
 			n.log.Info("lease ended")
 			permit = 0
@@ -417,7 +440,7 @@
 	var body []byte
 	if in != nil {
 		var err error
-		if body, err = json.Marshal(in); err != nil {
+		if body, err = protocol.Encode(in); err != nil {
 			return 0, err
 		}
 	}
@@ -428,7 +451,7 @@
 		return 0, err
 	}
 	if out != nil && len(resp) > 0 && (status == 200 || status == 409) {
-		if err := json.Unmarshal(resp, out); err != nil {
+		if err := protocol.Decode(resp, out); err != nil {
 			return status, err
 		}
 	}
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -6,22 +6,25 @@
 	"time"
 
 	"madderslip/internal/ledger"
+	"madderslip/internal/recovery"
 )
 
 // shard is a set of machines with one owner at a time. token is the revision
 // at which this process acquired it, or 0 when it does not own it.
 type shard struct {
-	name    string
-	rec     *ledger.Shard
-	stamp   uint64
-	token   uint64
-	since   time.Time // when this process acquired it
-	busy    bool
-	raise   bool // a new token is wanted, to void commands of unknown fate
-	raised  time.Time
-	drained time.Time // when a machine was last emptied to be returned
+	name      string
+	rec       *ledger.Shard
+	stamp     uint64
+	token     uint64
+	since     time.Time // when this process acquired it
+	busy      bool
+	raise     bool // a new token is wanted, to void commands of unknown fate
+	raised    time.Time
+	ownerless time.Time // since when its owner is seen to be away
+	drained   time.Time // when a machine was last emptied to be returned
 
 	machines []*machine          // in use, by name
+	kinds    map[machineKind]int // how many there are of each kind
 	claims   map[*claim]struct{} // held by the shard
 	dirty    map[*claim]struct{} // to be looked at
 	noting   bool                // its machines' images are being recorded
@@ -37,7 +40,7 @@
 func (n *Node) shard(name string) *shard {
 	s := n.shards[name]
 	if s == nil {
-		s = &shard{name: name, claims: make(map[*claim]struct{}), dirty: make(map[*claim]struct{})}
+		s = &shard{name: name, kinds: make(map[machineKind]int), claims: make(map[*claim]struct{}), dirty: make(map[*claim]struct{})}
 		n.shards[name] = s
 	}
 	return s
@@ -106,10 +109,11 @@
 // shardLoop works off the difference between who should own each shard and
 // who does.
 func (n *Node) shardLoop(ctx context.Context) {
-	for pause(ctx, 200*time.Millisecond) {
+	for n.pause(ctx, 200*time.Millisecond) {
 		n.mu.Lock()
+		now := time.Now()
+		n.look(now)
 		if n.loaded && n.permit != 0 {
-			now := time.Now()
 			for _, name := range n.shardNames() {
 				if s := n.shards[name]; !s.busy {
 					n.tendShard(s, now)
@@ -149,7 +153,15 @@
 			n.giveAway(s, to, now)
 		}
 	case s.rec.Owner != me:
-		if _, ownerLive := n.nodes[s.rec.Owner]; !ownerLive {
+		if _, ownerLive := n.nodes[s.rec.Owner]; ownerLive {
+			s.ownerless = time.Time{}
+		} else {
+			if s.ownerless.IsZero() {
+				s.ownerless = now
+			}
+			if s.name != me && (now.Sub(s.ownerless) < n.turn() || now.Sub(self.since) < recovery.Grace) {
+				return
+			}
 			// The home node, if it lives, has the first turn.
 			if homeLive && s.name != me && now.Sub(home.since) < 2*time.Second {
 				return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -100,10 +100,10 @@
 		m.use.m = m
 		n.machines[host] = m
 		delete(n.unknown, host)
+		m.rec = *r
 		if r.State == "" {
 			n.shard(r.Shard).enlist(m)
 		}
-		m.rec = *r
 		n.recallImages(m)
 	}
 	m.rec, m.stamp, m.stale, m.undetailed = *r, stamp, true, true
@@ -130,16 +130,24 @@
 	}
 }
 
+func (m *machine) kind() machineKind { return machineKind{m.rec.Type, m.rec.Zone, m.rec.Spot} }
+
 // enlist and discharge keep a shard's list of machines in use.
 func (s *shard) enlist(m *machine) {
 	at, _ := slices.BinarySearchFunc(s.machines, m.host, func(x *machine, host string) int { return strings.Compare(x.host, host) })
 	s.machines = slices.Insert(s.machines, at, m)
+	s.kinds[m.kind()]++
 }
 
 func (s *shard) discharge(m *machine) {
 	at, ok := slices.BinarySearchFunc(s.machines, m.host, func(x *machine, host string) int { return strings.Compare(x.host, host) })
 	if ok {
 		s.machines = slices.Delete(s.machines, at, at+1)
+		if k := m.kind(); s.kinds[k] > 1 {
+			s.kinds[k]--
+		} else {
+			delete(s.kinds, k)
+		}
 	}
 }
 
@@ -306,6 +314,7 @@
 		return
 	}
 	n.mu.Lock()
+	n.look(time.Now())
 	resp := n.report(r)
 	n.mu.Unlock()
 	reply(resp)
@@ -313,6 +322,9 @@
 
 func (n *Node) report(r *protocol.Report) transport.Response {
 	if !n.loaded {
+		if kept, ok := n.keepUnread(r, time.Now()); ok {
+			return kept
+		}
 		return unavailable(1)
 	}
 	m := n.machines[r.Host]
@@ -329,6 +341,9 @@
 	s := n.shards[m.rec.Shard]
 	if s == nil || s.token == 0 {
 		if s != nil && s.rec != nil && s.rec.Owner != n.cfg.Node {
+			if kept, ok := n.keepLease(s, r, time.Now()); ok {
+				return kept
+			}
 			if _, live := n.nodes[s.rec.Owner]; live {
 				return steward(s.rec.Owner)
 			}
@@ -345,7 +360,7 @@
 	if n.active(s) {
 		answer.Commands = append(answer.Commands, n.housekeeping(s, m)...)
 	}
-	b, err := json.Marshal(answer)
+	b, err := protocol.Encode(answer)
 	if err != nil {
 		return unavailable(1)
 	}
@@ -364,7 +379,7 @@
 	now := time.Now()
 	for i := range m.rep.Tasks {
 		t := &m.rep.Tasks[i]
-		c, p := n.placementOf(m.host, t.Task)
+		c, p := n.placementOf(m, t.Task)
 		if p != nil && p.Try == t.Try {
 			if grace, stop := n.wantStop(c, p, now); stop && t.Phase != protocol.TaskExited && (t.Phase != protocol.TaskSaving || grace == 0) {
 				out = append(out, protocol.Stop(t.Task, t.Try, grace))
@@ -387,7 +402,11 @@
 }
 
 // placementOf finds the claim of a reported task and its placement on a host.
-func (n *Node) placementOf(host, task string) (*claim, *ledger.Placement) {
+func (n *Node) placementOf(m *machine, task string) (*claim, *ledger.Placement) {
+	host := m.host
+	if p := m.use.places[task]; p != nil && p.c.pend == nil {
+		return p.c, &ledger.Placement{Task: p.task, Try: p.try, Host: host}
+	}
 	ref, num, ok := protocol.SplitTask(task)
 	j := n.jobs[ref]
 	if !ok || j == nil || j.size == 0 {
@@ -491,10 +510,10 @@
 func (n *Node) smallestShard(zone, typ string) string {
 	cpus, like := make(map[string]float64), make(map[string]int)
 	for _, s := range n.shards {
-		for _, m := range s.machines {
-			cpus[s.name] += n.typeOf(m.rec.Type).CPUs
-			if m.rec.Zone == zone && m.rec.Type == typ {
-				like[s.name]++
+		for k, count := range s.kinds {
+			cpus[s.name] += n.typeOf(k.typ).CPUs * float64(count)
+			if k.zone == zone && k.typ == typ {
+				like[s.name] += count
 			}
 		}
 	}
@@ -540,14 +559,19 @@
 	if m.adoptedAt.After(since) {
 		since = m.adoptedAt
 	}
+	if woke := n.beat.Woke(); woke.After(since) {
+		since = woke // its silence while this process stood still is this process's own
+	}
 	return now.Sub(since)
 }
 
 // probeLoop asks silent machines directly and fences those that stay silent.
 func (n *Node) probeLoop(ctx context.Context) {
-	for pause(ctx, 300*time.Millisecond) {
+	for n.pause(ctx, 300*time.Millisecond) {
 		n.mu.Lock()
 		now := time.Now()
+		n.look(now)
+		n.weighZones(now)
 		for _, name := range n.shardNames() {
 			if s := n.shards[name]; n.active(s) {
 				for _, m := range s.machines {
@@ -568,7 +592,7 @@
 		if m.listed != "" && quiet > n.pol.Suspect && !m.probing {
 			n.probe(m)
 		}
-		if quiet > 2*n.pol.Fence && len(m.use.places) > 0 && !m.returning {
+		if quiet > n.fenceAfter(m, 2*n.pol.Fence, now) && len(m.use.places) > 0 && !m.returning {
 			n.log.Info("fencing a machine that does not come to its new owner", "host", m.host)
 			n.returnMachine(s, m)
 		}
@@ -585,6 +609,7 @@
 	if !m.warned.IsZero() {
 		fence = n.pol.Suspect // it was announced to go
 	}
+	fence = n.fenceAfter(m, fence, now)
 	// A direct question must have failed since: reports alone may be held up.
 	if quiet <= fence || m.returning || !m.mute.After(m.heard) {
 		return
@@ -592,6 +617,9 @@
 	if n.ownFault(s, now) && quiet < 3*fence {
 		return // cutOff deals with it
 	}
+	if now.Sub(n.led.LastOK()) > downAfter {
+		return // nothing can be recorded now; it may be heard before that changes
+	}
 	n.log.Info("fencing a silent machine", "host", m.host, "silent", quiet)
 	n.returnMachine(s, m)
 }
@@ -615,7 +643,7 @@
 // its reports do not arrive.
 func (n *Node) probe(m *machine) {
 	m.probing = true
-	addr, ctx := m.address(), n.ctx
+	addr, ctx, began := m.address(), n.ctx, time.Now()
 	go func() {
 		var r protocol.Report
 		status, err := n.call(ctx, addr, "GET", protocol.PathShow, nil, &r, probeTimeout)
@@ -626,6 +654,9 @@
 			n.observe(m, &r)
 			return
 		}
-		m.mute = time.Now()
+		n.look(time.Now())
+		if began.After(n.beat.Woke()) {
+			m.mute = time.Now() // else nobody was there to hear the answer
+		}
 	}()
 }
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"slices"
@@ -90,13 +89,6 @@
 	Failed []string
 }
 
-type wireOp struct {
-	Set    string          `json:"set,omitempty"`
-	Drop   string          `json:"drop,omitempty"`
-	Value  json.RawMessage `json:"value,omitempty"`
-	Permit uint64          `json:"permit,omitempty"`
-}
-
 const (
 	gatherFor   = 4 * time.Millisecond
 	txnTimeout  = 2 * time.Second
@@ -114,7 +106,7 @@
 		if op.Value == nil {
 			w.Drop = root + op.Key
 		} else {
-			raw, err := json.Marshal(op.Value)
+			raw, err := protocol.Encode(op.Value)
 			if err != nil || len(raw) > c.lim.ValueBytes {
 				c.log.Error("record cannot be written", "key", op.Key, "bytes", len(raw), "err", err)
 				go t.Done(Result{Err: ErrInvalid})
@@ -308,6 +300,25 @@
 	return k
 }
 
+// Backlog is how many changes wait that go before a new transaction of a
+// priority, and how many a second the budget allows. Comparisons count as a
+// change for as many as go together in a request.
+func (c *Client) Backlog(prio int) (changes int, rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reads := 0
+	for _, t := range c.pending {
+		switch {
+		case t.Prio > prio:
+		case len(t.Ops) == 0:
+			reads++
+		default:
+			changes += len(t.Ops)
+		}
+	}
+	return changes + reads/max(1, c.lim.TxnOps), float64(c.writes.Limit())
+}
+
 // Saw tells of a version of a key seen elsewhere. Transactions that wait and
 // depend on an older one have failed already; sending them would only spend
 // the budget, which failing changes take from as much as others.
@@ -415,14 +426,7 @@
 }
 
 func (c *Client) send(ctx context.Context, batch []*Txn) {
-	type wireCond struct {
-		Key   string `json:"key"`
-		Stamp uint64 `json:"stamp"`
-	}
-	body := struct {
-		If     []wireCond `json:"if"`
-		Writes []wireOp   `json:"writes"`
-	}{[]wireCond{}, []wireOp{}}
+	body := &wireMulti{If: []wireCond{}, Writes: []wireOp{}}
 	seen := make(map[string]bool)
 	for _, t := range batch {
 		for _, cond := range t.Conds {
@@ -433,12 +437,9 @@
 		}
 		body.Writes = append(body.Writes, t.raw...)
 	}
-	var out struct {
-		Epoch  uint64   `json:"epoch"`
-		Failed []string `json:"failed"`
-	}
+	var out wireResult
 	status, err := c.call(ctx, "POST", protocol.PathMulti, body, &out, txnTimeout)
-	c.settle(ctx, batch, status, out.Epoch, out.Failed, err)
+	c.settle(ctx, batch, status, out, err)
 	c.mu.Lock()
 	c.inflight--
 	c.mu.Unlock()
@@ -446,7 +447,7 @@
 }
 
 // settle gives each transaction of a batch its result or sends it again.
-func (c *Client) settle(ctx context.Context, batch []*Txn, status int, epoch uint64, failed []string, err error) {
+func (c *Client) settle(ctx context.Context, batch []*Txn, status int, out wireResult, err error) {
 	var again []*Txn
 	pause := time.Duration(0)
 	switch {
@@ -460,13 +461,15 @@
 		again, pause = batch, 100*time.Millisecond
 	case status == 200:
 		for _, t := range batch {
-			t.Done(Result{Epoch: epoch})
+			t.Done(Result{Epoch: out.Epoch})
 		}
 	case status == 409:
-		again = c.sortFailed(batch, failed, epoch)
+		again = c.sortFailed(batch, out.Failed, out.Epoch)
+	case status == 400 && out.Error == noSuchLease:
+		again = c.sortLeased(batch)
 	case status == 400:
 		if len(batch) == 1 {
-			c.log.Error("transaction refused as malformed", "ops", len(batch[0].Ops))
+			c.log.Error("transaction refused as malformed", "reason", out.Error, "keys", keysOf(batch[0]))
 			batch[0].Done(Result{Err: ErrInvalid})
 			break
 		}
@@ -488,6 +491,45 @@
 	c.queue(again...)
 }
 
+// noSuchLease is the reason that the state service gives when a key was to hang
+// on a lease that has ended. Nothing is malformed about that: a process that
+// stood still for a while sends such a transaction when it goes on.
+const noSuchLease = "no such lease"
+
+// sortLeased ends those of a batch that need a lease, and sends the others
+// again: which of several leases has ended is not told, and whoever has a live
+// one decides anew soon. Taken for malformed, one of them had all its
+// neighbours sent one by one.
+func (c *Client) sortLeased(batch []*Txn) (again []*Txn) {
+	for _, t := range batch {
+		if !slices.ContainsFunc(t.Ops, func(op Op) bool { return op.Grant != 0 }) {
+			again = append(again, t)
+			continue
+		}
+		c.log.Info("lease of a transaction has ended", "keys", keysOf(t))
+		err := ErrNoGrant
+		if t.unsure {
+			err = errors.Join(ErrNoGrant, ErrUnknown) // an earlier sending may have been carried out
+		}
+		t.Done(Result{Err: err})
+	}
+	if len(again) == len(batch) { // not one that this client understands
+		for _, t := range again {
+			t.Done(Result{Err: ErrInvalid})
+		}
+		return nil
+	}
+	return again
+}
+
+func keysOf(t *Txn) []string {
+	keys := make([]string, 0, len(t.Ops))
+	for _, op := range t.Ops {
+		keys = append(keys, op.Key)
+	}
+	return keys
+}
+
 func (c *Client) sortFailed(batch []*Txn, failed []string, epoch uint64) (again []*Txn) {
 	for _, t := range batch {
 		var mine []string
