--- /dev/null
+++ b/internal/coordination/bench_test.go
@@ -0,0 +1,154 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/policy"
+	"madderslip/internal/protocol"
+)
+
+// idleLedger takes transactions and answers none.
+type idleLedger struct{ Ledger }
+
+func (idleLedger) Submit(*ledger.Txn)         {}
+func (idleLedger) Waiting(int) int            { return 0 }
+func (idleLedger) Share(int)                  {}
+func (idleLedger) Saw(string, uint64, bool)   {}
+func (idleLedger) LastOK() time.Time          { return time.Now() }
+func (idleLedger) Backlog(int) (int, float64) { return 0, 1 }
+func (idleLedger) Get(context.Context, string) (ledger.Item, error) {
+	return ledger.Item{}, ledger.ErrRefused
+}
+
+// fleetOf is a controller that owns one of three shards of so many machines, all
+// of them full: eight tasks each, of arrays of 64 tasks in chunks of 32.
+func fleetOf(b *testing.B, machines int) *Node {
+	b.Helper()
+	s := protocol.Settings{Node: "n0", Zone: "a", Nodes: 3, Zones: []string{"a", "b"}, Teams: map[string]protocol.Team{"t": {Name: "t"}},
+		Peers:      []protocol.Peer{{Node: "n1", Zone: "b"}, {Node: "n2", Zone: "a"}},
+		Workers:    protocol.WorkerSettings{Report: 5 * time.Second, Lease: 27 * time.Second, GangWait: 50 * time.Second, GangPeer: 8 * time.Second, Cancel: 47 * time.Second},
+		StateLimit: protocol.StateLimits{RPS: 150, WriteRPS: 35, ValueBytes: 8192, TxnOps: 12}, CloudLimit: protocol.CloudLimits{RPS: 9, ListLag: 5 * time.Second},
+		Machine: protocol.MachineLimits{CPUShare: 1, RAMBytes: 1 << 30, MaxConns: 2000}}
+	pol, err := policy.Load("", s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := New(Options{Settings: s, Policy: pol, Ledger: idleLedger{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Rand: rand.New(rand.NewPCG(1, 1))})
+	n.types = map[string]*protocol.MachineType{"m16": {Name: "m16", CPUs: 16, MemGB: 64, CacheGB: 50, PullGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: s.Zones}}
+	n.loaded, n.permit, n.epoch = true, 1, 1_000_000
+	put := func(key string, rec any, stamp uint64) { n.store(key, rec, stamp) }
+	for i, name := range []string{"n0", "n1", "n2"} {
+		put(ledger.NodeKeys+name, &ledger.Node{Boot: 1}, uint64(i+1))
+		put(ledger.ShardKeys+name, &ledger.Shard{Owner: name}, uint64(i+10))
+	}
+	for i := 0; i < machines; i += 30 {
+		h := &ledger.Hire{Hire: protocol.Hire{Type: "m16", Zone: s.Zones[i/30%2], Count: 30}, Parts: []ledger.Part{{Shard: "n0", Count: 10}, {Shard: "n1", Count: 10}, {Shard: "n2", Count: 10}}}
+		for k := range 30 {
+			h.Hosts = append(h.Hosts, hostName(i+k))
+		}
+		put(ledger.HireKeys+strconv.Itoa(i), h, 20)
+	}
+	shards := []string{"n0", "n1", "n2"}
+	for at := 0; at < machines; at += 4 { // a chunk of 32 tasks on four machines of one shard
+		chunk := at / 4
+		ref := fmt.Sprint("wk-", 1000+chunk/2)
+		if chunk%2 == 0 {
+			put(ledger.JobKeys+ref, &ledger.Job{Spec: &protocol.Submission{Ref: ref, Class: "c", Team: "t", Shape: protocol.Array, Rank: "normal", Tasks: 64,
+				CPUs: 2, MemGB: 4, Image: "img", ImageGB: 1, ExpectS: 30}, At: []string{"n0", "n1"}, Size: 32}, 30)
+		}
+		c := &ledger.Claim{Shard: shards[chunk%3], First: chunk % 2 * 32, Count: 32, Try: 1}
+		for t := range 32 {
+			// The machines of a shard come ten in a row of thirty.
+			k := chunk/3*4 + t/8
+			c.Open = append(c.Open, ledger.Placement{Task: c.First + t, Try: 1, Host: hostName(k/10*30 + chunk%3*10 + k%10)})
+		}
+		put(ledger.ClaimKey(ref, chunk%2), c, 40)
+	}
+	for _, m := range n.shards["n0"].machines {
+		n.report(reportOf(m, 1))
+	}
+	n.pass(time.Now())
+	return n
+}
+
+func hostName(i int) string { return fmt.Sprintf("vm-%06d", i) }
+
+// reportOf is a worker's account of all that is placed there.
+func reportOf(m *machine, tick uint64) *protocol.Report {
+	r := &protocol.Report{Host: m.host, Addr: "10.0.0.1:9000", Type: m.rec.Type, Zone: m.rec.Zone, Session: 1, Seq: tick, Token: 10}
+	for name, p := range m.use.places {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: name, Try: p.try, Phase: protocol.TaskRunning})
+	}
+	return r
+}
+
+// The cost of one event must not grow with the fleet: a controller sees as many
+// more of them. go test ./internal/coordination -run '^$' -bench . -benchmem
+func BenchmarkFleet(b *testing.B) {
+	for _, machines := range []int{1200, 3600, 12000} {
+		b.Run(fmt.Sprintf("report/%d", machines), func(b *testing.B) {
+			n := fleetOf(b, machines)
+			own := n.shards["n0"].machines
+			bodies := make([][]byte, 64)
+			for i := range bodies {
+				bodies[i], _ = protocol.Encode(reportOf(own[i*len(own)/len(bodies)], 1<<40))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r, err := protocol.ParseReport(bodies[i%len(bodies)])
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Seq = uint64(i + 2)
+				if got := n.report(r); got.Status != 200 {
+					b.Fatal(got.Status)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("claim/%d", machines), func(b *testing.B) {
+			n := fleetOf(b, machines)
+			key := ledger.ClaimKey("wk-1000", 1) // another controller's
+			raw, _ := protocol.Encode(n.claims[key].rec)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				n.take(ledger.Item{Key: key, Value: raw, Stamp: uint64(100 + i)})
+			}
+		})
+		b.Run(fmt.Sprintf("completion/%d", machines), func(b *testing.B) {
+			n := fleetOf(b, machines)
+			c := n.claims[ledger.ClaimKey("wk-1000", 0)]
+			m := n.machines[c.rec.Open[0].Host]
+			s, j := n.shards["n0"], n.jobs["wk-1000"]
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r := reportOf(m, uint64(i+2))
+				if i%2 == 0 {
+					r.Tasks[0].Phase, r.Tasks[0].Cause = protocol.TaskExited, protocol.CauseDone
+				}
+				n.report(r)
+				n.settleClaim(s, j, c, time.Now())
+			}
+		})
+		b.Run(fmt.Sprintf("pass/%d", machines), func(b *testing.B) {
+			n := fleetOf(b, machines)
+			s := n.shards["n0"]
+			for i := range 50 { // arrays that find no room
+				ref := fmt.Sprint("wk-", 900_000+i)
+				n.store(ledger.JobKeys+ref, &ledger.Job{Spec: &protocol.Submission{Ref: ref, Class: "c", Team: "t", Shape: protocol.Array, Rank: "normal", Tasks: 64,
+					CPUs: 2 + float64(i)/100, MemGB: 4, Image: "img", ExpectS: 30}, At: []string{"n0", "n1"}, Size: 32}, 50)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				n.schedule(s, time.Now())
+			}
+		})
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -92,14 +92,18 @@
 	returns    map[string]*machine   // their return is recorded and not carried out
 	types      map[string]*protocol.MachineType
 
-	leadStamp  uint64
-	permit     uint64
-	loads      map[string]loadSeen // by shard
-	queuedNow  map[string]float64  // CPUs this node queued at a shard since its last figure
-	stateOKAt  map[string]time.Time
-	ratios     map[string]float64   // class: observed run time over the estimate
-	refused    map[string]time.Time // type/zone/kind: not to be asked for before
-	beat       recovery.Beat
+	leadStamp uint64
+	permit    uint64
+	loads     map[string]loadSeen // by shard
+	queuedNow map[string]float64  // CPUs this node queued at a shard since its last figure
+	stateOKAt map[string]time.Time
+	ratios    map[string]float64   // class: observed run time over the estimate
+	refused   map[string]time.Time // type/zone/kind: not to be asked for before
+	beat      recovery.Beat
+	scratch   struct { // of roomsBut
+		rooms []room
+		list  []*room
+	}
 	pressing   bool                 // something is new that should not wait
 	heardFrom  map[string]time.Time // when the other controllers last spoke
 	cutSeen    map[string]time.Time // zones that seemed cut off, and when last
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -120,15 +120,21 @@
 
 // roomsBut is rooms, with what is held for the job but counted as free.
 func (n *Node) roomsBut(s *shard, but string, now time.Time) []*room {
-	all := make([]room, len(s.machines))
-	out := make([]*room, 0, len(s.machines))
+	// The rooms of the last call are over: every caller is done with its own before
+	// anything else asks, and all hold the lock.
+	if cap(n.scratch.rooms) < len(s.machines) {
+		n.scratch.rooms = make([]room, len(s.machines)*5/4)
+		n.scratch.list = make([]*room, 0, len(s.machines)*5/4)
+	}
+	all := n.scratch.rooms[:len(s.machines)]
+	out := n.scratch.list[:0]
 	for i, m := range s.machines {
 		t := n.types[m.rec.Type]
 		if t == nil {
 			continue
 		}
 		r := &all[i]
-		*r = room{m: m, host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t}
+		*r = room{ends: r.ends[:0], m: m, host: m.host, shard: s.name, typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, total: t}
 		r.cpus, r.gpus, r.mem = n.free(m)
 		// What is of unknown size is being ended by housekeeping.
 		r.usable = m.rep != nil && !m.sick && !m.gone && !m.unclear && m.draining.IsZero() && m.warned.IsZero() && !m.returning && m.address() != "" &&
