--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -105,3 +105,47 @@
 		t.Fatalf("%d connections are kept, wanted the two latest", c.Open())
 	}
 }
+
+// With sockets short, users are turned away at their first request and told when
+// to come back, while workers are still served: their leases run out.
+func TestUsersAreTurnedAwayFirst(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ready := make(chan struct{})
+	srv := NewServer(ServerConfig{Addr: addr, MaxConns: 6, MaxUsers: 2, IsUser: func(_, target string) bool { return target != "/report" },
+		Limits: testLimits, Idle: time.Minute, Stall: time.Minute},
+		func(_, _ string, _ []byte, reply func(Response)) { reply(Response{Status: 200}) }, slog.New(slog.DiscardHandler))
+	go func() { _ = srv.Run(ctx, func() { close(ready) }) }()
+	<-ready
+	ask := func(target string) (*Client, int) {
+		c := NewClient(1, 1, time.Minute)
+		status, _, err := c.Do(ctx, addr, "GET", target, nil)
+		if err != nil {
+			t.Fatal(target, err)
+		}
+		return c, status
+	}
+	first, status := ask("/user")
+	if status != 200 {
+		t.Fatal(status)
+	}
+	for i, want := range []int{200, 200, 200} { // workers, up to the limit
+		if _, status := ask("/report"); status != want {
+			t.Fatalf("worker %d: %d", i, status)
+		}
+		if i == 1 {
+			if _, status := ask("/user"); status != 503 {
+				t.Fatalf("a user beyond the users' part: %d", status)
+			}
+		}
+	}
+	if status, _, err := first.Do(ctx, addr, "GET", "/user", nil); err != nil || status != 200 {
+		t.Fatalf("a user that was there before: %d %v", status, err)
+	}
+}
