--- a/internal/recovery/later.go
+++ b/internal/recovery/later.go
@@ -20,8 +20,9 @@
 	return time.Duration(float64(b.Waiting) / b.Rate * float64(time.Second))
 }
 
-// longest is the longest that clients heed when they are told to come back.
-const longest = 30 * time.Second
+// longest is the longest that a client is sent away for. It asks for a minute in
+// all, so that it has several tries left whatever it is told.
+const longest = 20 * time.Second
 
 // ComeBack is what a client is told that is turned away: when the backlog should
 // have been worked off, in whole seconds, one at least. The spread, from 0 up to 1
--- a/madderslip.go
+++ b/madderslip.go
@@ -84,7 +84,8 @@
 	c.pub = transport.NewServer(transport.ServerConfig{
 		Addr: s.PublicAddr, MaxConns: sockets.Public, MaxUsers: sockets.Users, IsUser: protocol.FromUser,
 		Limits: transport.Limits{Head: 8 << 10, Body: 64 << 10},
-		Idle:   90 * time.Second, Stall: 10 * time.Second,
+		// Whoever has nothing to say for several beats has gone, or its machine has.
+		Idle: max(30*time.Second, 5*s.Workers.Report), Stall: 10 * time.Second,
 	}, c.node.Handle, cfg.Log)
 	return c, nil
 }
