--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -20,7 +20,7 @@
 
 func (idleLedger) Submit(*ledger.Txn)         {}
 func (idleLedger) Waiting(int) int            { return 0 }
-func (idleLedger) Share(int)                  {}
+func (idleLedger) Share(float64)              {}
 func (idleLedger) Saw(string, uint64, bool)   {}
 func (idleLedger) LastOK() time.Time          { return time.Now() }
 func (idleLedger) Backlog(int) (int, float64) { return 0, 1 }
--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"madderslip/internal/protocol"
+	"madderslip/internal/recovery"
 )
 
 // The rules allow no task beyond cancel_s after its user was told that the job
@@ -14,7 +15,8 @@
 //
 //   - at once if it has been silent and did not answer when asked, for its stop
 //     cannot arrive, and whatever else fails soon would keep it;
-//   - after two fifths of cancel_s in any case;
+//   - after two fifths of cancel_s, if it was heard or should have been (see
+//     recovery.Cancelled);
 //   - after half of it without a record, if the state service does not take one.
 //
 // The times count from the record of the cancellation, so they go on through
@@ -70,21 +72,21 @@
 // enforceCancel has a machine fenced if it is time, and tells whether that must
 // not wait for a record any longer.
 func (n *Node) enforceCancel(j *job, m *machine, now time.Time) bool {
-	age, limit := now.Sub(j.ended), n.cfg.Workers.Cancel
-	s := n.shards[m.rec.Shard]
+	limit, s := n.cfg.Workers.Cancel, n.shards[m.rec.Shard]
+	c := recovery.Cancelled{Age: now.Sub(j.ended), Heard: m.settled(s), Acting: now.Sub(s.since)}
 	// Not when all of them are silent to this node: on a day with such troubles it
 	// fenced healthy machines for the one task that was cancelled on each.
-	silent := m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard) && !n.ownFault(s, now) && !n.zoneCut(m.rec.Zone, now)
-	if age <= limit*2/5 && !silent {
+	c.Silent = m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard) && !n.ownFault(s, now) && !n.zoneCut(m.rec.Zone, now)
+	if !c.Fence(limit, n.cfg.Workers.Report*13/10) {
 		return false
 	}
 	if m.rec.State == "" && !m.returning {
-		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref, "after", age, "silent", silent)
+		n.log.Info("fencing a machine that keeps a cancelled task", "host", m.host, "job", j.ref, "after", c.Age, "silent", c.Silent)
 		n.returnMachine(s, m)
 	}
 	// A process that has just gone on after standing still knows the age alone, not
 	// what others have done about it meanwhile.
-	return age > limit/2 && m.rec.State == "" && !n.refusedAlone(now) && n.beat.Settled(now, hearOthers)
+	return c.Bare(limit, now.Sub(n.led.LastOK()) > downAfter) && m.rec.State == "" && !n.refusedAlone(now) && n.beat.Settled(now, hearOthers)
 }
 
 // keptUnowned tells, for a machine of a shard that this node may not act for,
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -28,7 +28,7 @@
 	Extend(ctx context.Context, permit uint64) error
 	Submit(t *ledger.Txn)
 	Waiting(prio int) int
-	Share(live int)
+	Share(part float64)
 	Saw(key string, stamp uint64, exists bool)
 	LastOK() time.Time
 	Backlog(prio int) (changes int, rate float64)
@@ -106,6 +106,7 @@
 	}
 	pressing   bool                 // something is new that should not wait
 	heardFrom  map[string]time.Time // when the other controllers last spoke
+	waits      map[string]waitsSeen // changes that wait there, as they last said
 	cutSeen    map[string]time.Time // zones that seemed cut off, and when last
 	fleet      fleetState
 	soughtWide time.Time // when jobs wider than any shard were last sought
@@ -119,6 +120,11 @@
 	since time.Time
 }
 
+type waitsSeen struct {
+	changes int
+	at      time.Time
+}
+
 type loadSeen struct {
 	load protocol.Load
 	at   time.Time
@@ -174,7 +180,7 @@
 		teams: make(map[string]*teamUse), hires: make(map[string]*hire), unknown: make(map[string]unknownHost), gathers: make(map[string]*gathering),
 		loads: make(map[string]loadSeen), queuedNow: make(map[string]float64), stateOKAt: make(map[string]time.Time),
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
-		heardFrom: make(map[string]time.Time), cutSeen: make(map[string]time.Time),
+		heardFrom: make(map[string]time.Time), waits: make(map[string]waitsSeen), cutSeen: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
 		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		ctx: context.Background(),
@@ -369,7 +375,7 @@
 		seen.stamp = stamp
 		n.nodes[name] = seen
 	}
-	n.led.Share(len(n.nodes))
+	n.shareBudget(time.Now())
 }
 
 // commit submits a transaction. done runs with the lock held, after the cache
--- a/internal/coordination/outlook.go
+++ b/internal/coordination/outlook.go
@@ -1,8 +1,10 @@
 package coordination
 
 import (
+	"slices"
 	"time"
 
+	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
 	"madderslip/internal/recovery"
 	"madderslip/internal/transport"
@@ -118,6 +120,32 @@
 	return recovery.Turn(n.cfg.Node, all)
 }
 
+// sayEvery is how old another controller's word of its backlog may be.
+const sayEvery = 3 * time.Second
+
+// shareBudget takes this node's part of the state service's budgets: by need if all
+// live controllers have said theirs, else evenly.
+func (n *Node) shareBudget(now time.Time) {
+	names := n.liveNodes()
+	own := slices.Index(names, n.cfg.Node)
+	waits := make([]int, max(1, len(names)))
+	known := own >= 0
+	for i, name := range names {
+		w := n.waits[name]
+		if i == own {
+			w.changes, _ = n.led.Backlog(ledger.PrioRest)
+			w.at = now
+		}
+		known = known && now.Sub(w.at) < sayEvery
+		waits[i] = w.changes
+	}
+	if !known {
+		clear(waits)
+		own = 0
+	}
+	n.led.Share(recovery.Part(waits, own))
+}
+
 // backlog is what waits ahead of a transaction of a priority.
 func (n *Node) backlog(prio int, now time.Time) recovery.Backlog {
 	b := recovery.Backlog{Down: now.Sub(n.led.LastOK()) > downAfter}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -14,6 +14,7 @@
 func (n *Node) peerLoop(ctx context.Context) {
 	for n.pause(ctx, time.Second) {
 		n.mu.Lock()
+		n.shareBudget(time.Now())
 		msg := n.message()
 		n.mu.Unlock()
 		n.broadcast(ctx, msg)
@@ -21,7 +22,8 @@
 }
 
 func (n *Node) message() protocol.PeerMessage {
-	msg := protocol.PeerMessage{From: n.cfg.Node, StateOK: time.Since(n.led.LastOK()) < 1500*time.Millisecond}
+	msg := protocol.PeerMessage{From: n.cfg.Node, StateOK: time.Since(n.led.LastOK()) < 1500*time.Millisecond, Beat: true}
+	msg.Waits, _ = n.led.Backlog(ledger.PrioRest)
 	for _, name := range n.shardNames() {
 		if s := n.shards[name]; n.active(s) {
 			msg.Loads = append(msg.Loads, n.loadOf(s))
@@ -92,6 +94,9 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	n.heardFrom[msg.From] = now
+	if msg.Beat {
+		n.waits[msg.From] = waitsSeen{msg.Waits, now}
+	}
 	if msg.StateOK {
 		n.stateOKAt[msg.From] = now
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -289,6 +289,9 @@
 	case !n.loaded || left < 200*time.Millisecond:
 		reply(unavailable(1))
 		return
+	case n.backlog(ledger.PrioUser, time.Now()).Down:
+		reply(n.later(ledger.PrioUser, time.Now()))
+		return
 	case !known:
 		n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: 0}}, nil, left, func(err error) {
 			if err == nil {
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -74,10 +74,10 @@
 // minBurst is the most that one transaction changes, with a margin.
 const minBurst = 8
 
-// Share sets how many live nodes share the budgets. A tenth stays unused for
+// Share sets this node's part of the budgets, from 0 to 1. A tenth stays unused for
 // lease renewals, which do not wait for the budget.
-func (c *Client) Share(live int) {
-	part := 0.9 / float64(max(1, live))
+func (c *Client) Share(part float64) {
+	part *= 0.9
 	c.reqs.SetLimit(rate.Limit(c.lim.RPS * part))
 	c.writes.SetLimit(rate.Limit(c.lim.WriteRPS * part))
 	c.reqs.SetBurst(max(4, int(c.lim.RPS*part/2)))
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -59,6 +59,10 @@
 	Intents []string `json:"intents,omitempty"`
 	// Planned are claims for which the sender is displacing other work.
 	Planned []string `json:"planned,omitempty"`
+	// Waits is how many changes wait at the sender for the state service's budget.
+	Waits int `json:"waits,omitempty"`
+	// Beat marks the message of every second, which alone tells Waits.
+	Beat bool `json:"beat,omitempty"`
 	// StateOK tells that the sender heard from the state service just now.
 	StateOK bool `json:"stateOk"`
 }
--- a/internal/protocol/peer_easyjson.go
+++ b/internal/protocol/peer_easyjson.go
@@ -137,6 +137,18 @@
 				}
 				in.Delim(']')
 			}
+		case "waits":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Waits = int(in.Int())
+			}
+		case "beat":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Beat = bool(in.Bool())
+			}
 		case "stateOk":
 			if in.IsNull() {
 				in.Skip()
@@ -218,6 +230,16 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Waits != 0 {
+		const prefix string = ",\"waits\":"
+		out.RawString(prefix)
+		out.Int(int(in.Waits))
+	}
+	if in.Beat {
+		const prefix string = ",\"beat\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Beat))
+	}
 	{
 		const prefix string = ",\"stateOk\":"
 		out.RawString(prefix)
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -169,3 +169,48 @@
 		}
 	}
 }
+
+// A machine that was not heard yet has two beats to stop what it should, and the
+// bound is kept whatever happens.
+func TestCancelled(t *testing.T) {
+	const limit, beat = 47 * sec, 6500 * time.Millisecond
+	for name, c := range map[string]struct {
+		c     Cancelled
+		down  bool
+		fence bool
+		bare  bool
+	}{
+		"its stop is on the way":               {Cancelled{Age: 10 * sec, Heard: true, Acting: 60 * sec}, false, false, false},
+		"it keeps the task though it is heard": {Cancelled{Age: 19 * sec, Heard: true, Acting: 60 * sec}, false, true, false},
+		"silent":                               {Cancelled{Age: sec, Silent: true, Acting: 60 * sec}, false, true, false},
+		"its owner has just begun":             {Cancelled{Age: 30 * sec, Acting: sec}, false, false, false},
+		"and has not heard it in two beats":    {Cancelled{Age: 30 * sec, Acting: 14 * sec}, false, true, false},
+		"the bound leaves no time for that":    {Cancelled{Age: 33 * sec, Acting: sec}, false, true, false},
+		"no record can be made":                {Cancelled{Age: 24 * sec, Heard: true, Acting: 60 * sec}, true, true, true},
+		"records are slow":                     {Cancelled{Age: 36 * sec, Heard: true, Acting: 60 * sec}, false, true, true},
+	} {
+		if fence, bare := c.c.Fence(limit, beat), c.c.Bare(limit, c.down); fence != c.fence || (fence && bare != c.bare) {
+			t.Errorf("%s: fence %v, without a record %v", name, fence, bare)
+		}
+	}
+}
+
+// Whatever waits where, the parts of all make one, and none is left without.
+func TestPart(t *testing.T) {
+	for _, waits := range [][]int{{0}, {0, 0, 0}, {50, 0, 3}, {1000, 0, 0, 0, 0, 0, 0}} {
+		sum := 0.0
+		for own := range waits {
+			p := Part(waits, own)
+			if p < 0.5/float64(len(waits)) {
+				t.Errorf("%v: %v for %d", waits, p, own)
+			}
+			sum += p
+		}
+		if sum < 0.999 || sum > 1.001 {
+			t.Errorf("%v: %v in all", waits, sum)
+		}
+	}
+	if a, b := Part([]int{50, 0, 3}, 0), Part([]int{50, 0, 3}, 1); a < 2*b {
+		t.Errorf("%v with a backlog, %v without", a, b)
+	}
+}
