--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -160,7 +160,13 @@
 		n.chargeHolds(s, but, byHost)
 	}
 	if now.Sub(n.cardsAt) < cardsRecent {
-		keepCards(out, n.pol.CardReserve)
+		cards := 0
+		for _, r := range out {
+			if r.total.GPUs > 0 {
+				cards++
+			}
+		}
+		keepCards(out, max(n.pol.CardReserve, int(n.pol.CardShare*float64(cards))))
 	}
 	return out
 }
