--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -9,32 +8,36 @@
 	"time"
 )
 
-// TestServerAndClient talks over a real connection: keep-alive, a late answer
-// from another goroutine, a malformed request, and a refused connection.
-func TestServerAndClient(t *testing.T) {
+// serve runs a server on a free port until the test ends.
+func serve(t *testing.T, cfg ServerConfig, h Handler) (*Server, string) {
+	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
+	cfg.Addr, cfg.Limits, cfg.Idle, cfg.Stall = ln.Addr().String(), testLimits, time.Minute, time.Minute
 	ln.Close()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	ready := make(chan struct{})
-	srv := NewServer(ServerConfig{Addr: addr, MaxConns: 10, Limits: testLimits, Idle: time.Minute, Stall: time.Minute},
-		func(method, target string, body []byte, reply func(Response)) {
-			if target == "/late" {
-				go reply(Response{Status: 200, Body: body})
-				return
-			}
-			reply(Response{Status: 404})
-		}, slog.New(slog.DiscardHandler))
+	srv, ready := NewServer(cfg, h, slog.New(slog.DiscardHandler)), make(chan struct{})
 	go func() {
-		if err := srv.Run(ctx, func() { close(ready) }); err != nil {
+		if err := srv.Run(t.Context(), func() { close(ready) }); err != nil {
 			t.Error(err)
 		}
 	}()
 	<-ready
+	return srv, cfg.Addr
+}
+
+// TestServerAndClient talks over a real connection: keep-alive, a late answer
+// from another goroutine, a malformed request, and a refused connection.
+func TestServerAndClient(t *testing.T) {
+	ctx := t.Context()
+	srv, addr := serve(t, ServerConfig{MaxConns: 10}, func(method, target string, body []byte, reply func(Response)) {
+		if target == "/late" {
+			go reply(Response{Status: 200, Body: body})
+			return
+		}
+		reply(Response{Status: 404})
+	})
 	c := NewClient(4, 2, time.Minute)
 	for range 3 {
 		status, body, err := c.Do(ctx, addr, "POST", "/late", []byte(`{"a":1}`))
@@ -109,20 +112,9 @@
 // With sockets short, users are turned away at their first request and told when
 // to come back, while workers are still served: their leases run out.
 func TestUsersAreTurnedAwayFirst(t *testing.T) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	ready := make(chan struct{})
-	srv := NewServer(ServerConfig{Addr: addr, MaxConns: 6, MaxUsers: 2, IsUser: func(_, target string) bool { return target != "/report" },
-		Limits: testLimits, Idle: time.Minute, Stall: time.Minute},
-		func(_, _ string, _ []byte, reply func(Response)) { reply(Response{Status: 200}) }, slog.New(slog.DiscardHandler))
-	go func() { _ = srv.Run(ctx, func() { close(ready) }) }()
-	<-ready
+	ctx := t.Context()
+	_, addr := serve(t, ServerConfig{MaxConns: 6, MaxUsers: 2, IsUser: func(_, target string) bool { return target != "/report" }},
+		func(_, _ string, _ []byte, reply func(Response)) { reply(Response{Status: 200}) })
 	ask := func(target string) (*Client, int) {
 		c := NewClient(1, 1, time.Minute)
 		status, _, err := c.Do(ctx, addr, "GET", target, nil)
