--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -108,18 +108,10 @@
 }
 
 // refusedAlone tells that other controllers have just heard from the state
-// service and this one has not: its shards' next owner does what is needed, with
-// a record.
+// service and this one has not for a while: its shards' next owner does what is
+// needed, with a record.
 func (n *Node) refusedAlone(now time.Time) bool {
-	if now.Sub(n.led.LastOK()) < 4*time.Second {
-		return false
-	}
-	for _, at := range n.stateOKAt {
-		if now.Sub(at) < 3*time.Second {
-			return true
-		}
-	}
-	return false
+	return now.Sub(n.led.LastOK()) >= 4*time.Second && n.servedElsewhere(now)
 }
 
 // returnBare returns machines whose return could not be recorded. Their 200
--- a/internal/coordination/outlook.go
+++ b/internal/coordination/outlook.go
@@ -157,7 +157,25 @@
 // away at once rather than in the end: more than a lease renewal's beat.
 const downAfter = 2500 * time.Millisecond
 
+// servedElsewhere tells that the state service serves other controllers and not
+// this one. A node that refuses at once has the fewest open connections, so the
+// load balancer sends it the more users the longer it seems healthy.
+func (n *Node) servedElsewhere(now time.Time) bool {
+	if now.Sub(n.led.LastOK()) < downAfter {
+		return false
+	}
+	for _, at := range n.stateOKAt {
+		if now.Sub(at) < sayEvery {
+			return true
+		}
+	}
+	return false
+}
+
 // later turns a user away, and says when to come back.
 func (n *Node) later(prio int, now time.Time) transport.Response {
+	if n.servedElsewhere(now) {
+		return unavailable(1) // at another node, most likely
+	}
 	return unavailable(int(n.backlog(prio, now).ComeBack(n.rng.Float64()) / time.Second))
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -59,7 +59,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	ok := n.loaded && len(n.types) > 0
-	if !ok || n.refusedAlone(now) {
+	if !ok || n.servedElsewhere(now) {
 		reply(unavailable(1))
 		return
 	}
