A cancellation is repeated to peers in an outage, and its tasks end in time behind a healed cut

A zone is cut, a job with tasks there is aborted outside, an outage begins before the zone heals: the owner behind the cut never reads of it, and the others leave a machine alone that answers. Change: while nothing is executed, the beat between controllers carries the cancellations that have claims left; whoever sees a cancelled task still running on a machine that answers returns it from seven tenths of the bound.

--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -104,6 +104,13 @@
 	if !m.probing {
 		n.probe(m)
 	}
+	// It answers, and still has the task: whoever owns it does not know. That is
+	// left to the owner for as long as the bound allows.
+	t := m.tasks[p.name]
+	kept := t != nil && t.Try == p.try && t.Phase != protocol.TaskExited && m.heard.After(j.ended) && now.Sub(m.heard) < 2*probeTimeout
+	if kept && now.Sub(j.ended) > n.cfg.Workers.Cancel*7/10 {
+		return now.Sub(n.led.LastOK()) > downAfter
+	}
 	return m.mute.After(j.ended) && m.mute.After(m.heard)
 }
 
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +26,17 @@
 func (n *Node) message() protocol.PeerMessage {
 	msg := protocol.PeerMessage{From: n.cfg.Node, StateOK: time.Since(n.led.LastOK()) < 1500*time.Millisecond, Beat: true}
 	msg.Waits, _ = n.led.Backlog(ledger.PrioRest)
+	if time.Since(n.led.LastOK()) > downAfter {
+		// The watch brings nothing now. An owner that was cut off as a job was
+		// cancelled, and whose zone healed in an outage, kept its tasks beyond the
+		// bound though others knew.
+		for _, ref := range slices.Sorted(maps.Keys(n.cancelled)) {
+			j := n.cancelled[ref]
+			if raw, err := protocol.Encode(j.rec); err == nil && len(msg.Fresh) < mostRepeated {
+				msg.Fresh = append(msg.Fresh, protocol.KeyNews{Key: ledger.JobKeys + ref, Value: raw, Stamp: j.stamp})
+			}
+		}
+	}
 	for _, name := range n.shardNames() {
 		if s := n.shards[name]; n.active(s) {
 			msg.Loads = append(msg.Loads, n.loadOf(s))
@@ -32,6 +45,9 @@
 	return msg
 }
 
+// mostRepeated bounds the cancellations that are repeated in one message.
+const mostRepeated = 100
+
 func (n *Node) broadcast(ctx context.Context, msg protocol.PeerMessage) {
 	for name, peer := range n.peers {
 		go func() {
