--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -591,18 +591,23 @@
 		if m.slow {
 			run *= 4
 		}
-		m.after(name, t, run, func() {
+		var end func()
+		end = func() {
 			if t.phase != protocol.TaskRunning {
 				return // it is being stopped
 			}
 			if j.Spec.Shape == protocol.Gang {
 				w.finishGang(j, t.try)
+				if t.phase == protocol.TaskRunning {
+					m.after(name, t, time.Second, end) // another one's machine hangs
+				}
 				return
 			}
 			_, num, _ := protocol.SplitTask(name)
 			j.done[num] = true
 			m.exit(name, t, protocol.CauseDone)
-		})
+		}
+		m.after(name, t, run, end)
 	}
 }
 
