Say once what was said several times: codec, outage, beat, last resort

Users' requests walked the waiting transactions only to learn of an outage. Change: transport calls protocol's codec; stateDown, reportBeat and LastResort stand once. Behaviour as before; the guard's table follows the text that it takes out.

--- a/internal/coordination/cancel.go
+++ b/internal/coordination/cancel.go
@@ -77,7 +77,7 @@
 	// Not when all of them are silent to this node: on a day with such troubles it
 	// fenced healthy machines for the one task that was cancelled on each.
 	c.Silent = m.rep != nil && n.silence(m, now) > n.pol.Suspect && m.mute.After(m.heard) && !n.ownFault(s, now) && !n.zoneCut(m.rec.Zone, now)
-	if !c.Fence(limit, n.cfg.Workers.Report*13/10) {
+	if !c.Fence(limit, n.reportBeat()) {
 		return false
 	}
 	if m.rec.State == "" && !m.returning {
@@ -86,7 +86,7 @@
 	}
 	// A process that has just gone on after standing still knows the age alone, not
 	// what others have done about it meanwhile.
-	return c.Bare(limit, now.Sub(n.led.LastOK()) > downAfter) && m.rec.State == "" && !n.refusedAlone(now) && n.beat.Settled(now, hearOthers)
+	return c.Bare(limit, n.stateDown(now)) && m.rec.State == "" && !n.refusedAlone(now) && n.beat.Settled(now, hearOthers)
 }
 
 // keptUnowned tells, for a machine of a shard that this node may not act for,
@@ -108,8 +108,8 @@
 	// left to the owner for as long as the bound allows.
 	t := m.tasks[p.name]
 	kept := t != nil && t.Try == p.try && t.Phase != protocol.TaskExited && m.heard.After(j.ended) && now.Sub(m.heard) < 2*probeTimeout
-	if kept && now.Sub(j.ended) > n.cfg.Workers.Cancel*7/10 {
-		return now.Sub(n.led.LastOK()) > downAfter
+	if kept && now.Sub(j.ended) > recovery.LastResort(n.cfg.Workers.Cancel) {
+		return n.stateDown(now)
 	}
 	return m.mute.After(j.ended) && m.mute.After(m.heard)
 }
--- a/internal/coordination/outlook.go
+++ b/internal/coordination/outlook.go
@@ -27,7 +27,7 @@
 	if len(n.cfg.Zones) < 2 {
 		return
 	}
-	beat := n.cfg.Workers.Report * 13 / 10
+	beat := n.reportBeat()
 	var signs []recovery.Sign
 	for _, s := range n.shards {
 		if !n.active(s) {
@@ -148,7 +148,7 @@
 
 // backlog is what waits ahead of a transaction of a priority.
 func (n *Node) backlog(prio int, now time.Time) recovery.Backlog {
-	b := recovery.Backlog{Down: now.Sub(n.led.LastOK()) > downAfter}
+	b := recovery.Backlog{Down: n.stateDown(now)}
 	b.Waiting, b.Rate = n.led.Backlog(prio)
 	return b
 }
@@ -157,11 +157,19 @@
 // away at once rather than in the end: more than a lease renewal's beat.
 const downAfter = 2500 * time.Millisecond
 
+// stateDown tells that the state service has executed nothing of this node's for
+// a while: an outage, or a fault of the node's own.
+func (n *Node) stateDown(now time.Time) bool { return now.Sub(n.led.LastOK()) > downAfter }
+
+// reportBeat is the longest that a worker goes without reporting when all is well:
+// its period, give or take a quarter, and a little more.
+func (n *Node) reportBeat() time.Duration { return n.cfg.Workers.Report * 13 / 10 }
+
 // servedElsewhere tells that the state service serves other controllers and not
 // this one. A node that refuses at once has the fewest open connections, so the
 // load balancer sends it the more users the longer it seems healthy.
 func (n *Node) servedElsewhere(now time.Time) bool {
-	if now.Sub(n.led.LastOK()) < downAfter {
+	if !n.stateDown(now) {
 		return false
 	}
 	for _, at := range n.stateOKAt {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -26,7 +26,7 @@
 func (n *Node) message() protocol.PeerMessage {
 	msg := protocol.PeerMessage{From: n.cfg.Node, StateOK: time.Since(n.led.LastOK()) < 1500*time.Millisecond, Beat: true}
 	msg.Waits, _ = n.led.Backlog(ledger.PrioRest)
-	if time.Since(n.led.LastOK()) > downAfter {
+	if n.stateDown(time.Now()) {
 		// The watch brings nothing now. An owner that was cut off as a job was
 		// cancelled, and whose zone healed in an outage, kept its tasks beyond the
 		// bound though others knew.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -108,7 +108,7 @@
 	case !n.loaded:
 		reply(unavailable(1))
 		return
-	case n.backlog(ledger.PrioUser, now).Down:
+	case n.stateDown(now):
 		reply(n.later(ledger.PrioUser, now))
 		return
 	}
@@ -289,7 +289,7 @@
 	case !n.loaded || left < 200*time.Millisecond:
 		reply(unavailable(1))
 		return
-	case n.backlog(ledger.PrioUser, time.Now()).Down:
+	case n.stateDown(time.Now()):
 		reply(n.later(ledger.PrioUser, time.Now()))
 		return
 	case !known:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -617,7 +617,7 @@
 	if n.ownFault(s, now) && quiet < 3*fence {
 		return // cutOff deals with it
 	}
-	if now.Sub(n.led.LastOK()) > downAfter {
+	if n.stateDown(now) {
 		return // nothing can be recorded now; it may be heard before that changes
 	}
 	n.log.Info("fencing a silent machine", "host", m.host, "silent", quiet)
@@ -630,8 +630,7 @@
 // without hearing from nearly all of them tells it, before the first is due for
 // fencing.
 func (n *Node) ownFault(s *shard, now time.Time) bool {
-	beat := n.cfg.Workers.Report * 13 / 10
-	silent, total := n.silentShare(s, beat, now)
+	silent, total := n.silentShare(s, n.reportBeat(), now)
 	return s.name == n.cfg.Node && n.otherLive() != "" && total >= 3 && silent*10 >= total*8
 }
 
--- a/internal/recovery/cancelled.go
+++ b/internal/recovery/cancelled.go
@@ -11,6 +11,9 @@
 	Acting time.Duration // for how long the owner has
 }
 
+// LastResort is the age from which a bound leaves no more time to wait for anything.
+func LastResort(limit time.Duration) time.Duration { return limit * 7 / 10 }
+
 // Fence tells whether the machine has to be returned for the sake of the bound.
 //
 // An owner that has just begun, after a restart or a takeover, finds cancellations
@@ -18,7 +21,7 @@
 // should with their first report; fenced at first sight, twenty at a time lost all
 // that they ran. So they have two beats to be heard, if the bound leaves as much.
 func (c Cancelled) Fence(limit, beat time.Duration) bool {
-	if c.Silent || c.Age > limit*7/10 {
+	if c.Silent || c.Age > LastResort(limit) {
 		return true
 	}
 	return c.Age > limit*2/5 && (c.Heard || c.Acting > 2*beat)
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -53,7 +53,7 @@
 	{"commands of unknown fate", "workers.go", `slices.ContainsFunc(m.unsure, func(u sentStart) bool { return u.task == task && u.try == try })`, `false`},
 	{"a machine that keeps a cancelled task is fenced", "workers.go", `		n.enforceCancels(now)
 `, ``},
-	{"fenced without a record if need be", "cancel.go", `return c.Bare(limit, now.Sub(n.led.LastOK()) > downAfter) && m.rec.State == "" && !n.refusedAlone(now)`, `return false`},
+	{"fenced without a record if need be", "cancel.go", `return c.Bare(limit, n.stateDown(now)) && m.rec.State == "" && !n.refusedAlone(now)`, `return false`},
 	{"the bound counts from the record", "view.go", `r.Ended != 0 && at.Before(j.ended)`, `false && at.Before(j.ended)`},
 	{"team limits are conditions", "settle.go", `return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op`, `return nil, []ledger.Op`},
 	{"team use by the record", "settle.go", `	return use, [2]float64{max(use[0], sum[0]), max(use[1], sum[1])}`, `	return sum, sum`},
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -11,27 +11,17 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
+
+	"madderslip/internal/protocol"
 )
 
 // jsonCodec lets the controllers' messages be the plain structs of package
-// protocol; their volume does not pay for generated code.
+// protocol, which reads and writes them.
 type jsonCodec struct{}
 
-func (jsonCodec) Marshal(v any) ([]byte, error) {
-	if m, ok := v.(json.Marshaler); ok {
-		return m.MarshalJSON()
-	}
-	return json.Marshal(v)
-}
-
-func (jsonCodec) Unmarshal(data []byte, v any) error {
-	if u, ok := v.(json.Unmarshaler); ok {
-		return u.UnmarshalJSON(data)
-	}
-	return json.Unmarshal(data, v)
-}
-
-func (jsonCodec) Name() string { return "json" }
+func (jsonCodec) Marshal(v any) ([]byte, error)      { return protocol.Encode(v) }
+func (jsonCodec) Unmarshal(data []byte, v any) error { return protocol.Decode(data, v) }
+func (jsonCodec) Name() string                       { return "json" }
 
 var _ encoding.Codec = jsonCodec{}
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -165,7 +165,7 @@
 			break
 		}
 		pc.told100 = false
-		if first := !pc.known; first {
+		if !pc.known {
 			pc.known = true
 			if s.cfg.IsUser != nil && int(s.open.Load()) > s.cfg.MaxUsers && s.cfg.IsUser(m.Start[0], m.Start[1]) {
 				pc.out = AppendResponse(pc.out, Response{Status: 503, Body: []byte(`{"error":"too many connections"}`), RetryAfter: 2, Close: true})
