A controller refused alone gives its workers up on its heir's word

Cause: when the state service refuses one controller alone, a neighbour acquires its shard, but the old owner reads of that nowhere and goes on answering its workers with its old token, so the new owner owns machines that never come. Excluded: the workers' leases (they are answered all along), and turning workers away whenever the state service is silent (in a common outage all would lose them). Change: the load that controllers tell one another carries the owner's token; who hears a higher one stops commanding and sends the workers there. A new owner shows its token to machines that answer its question without having seen it, for the case that no peer reaches the old one.

--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -117,6 +117,9 @@
 		n.stateOKAt[msg.From] = now
 	}
 	for _, l := range msg.Loads {
+		if s := n.shards[l.Shard]; s != nil {
+			n.ousted(s, msg.From, l.Token)
+		}
 		n.loads[l.Shard] = loadSeen{l, now}
 		n.queuedNow[l.Shard] = 0
 	}
@@ -149,10 +152,10 @@
 // loadOf is a shard's load now.
 func (n *Node) loadOf(s *shard) protocol.Load {
 	now := time.Now()
-	if now.Sub(s.load.at) < loadKeep {
+	if now.Sub(s.load.at) < loadKeep && s.load.load.Token == s.token {
 		return s.load.load
 	}
-	l := protocol.Load{Shard: s.name, Holds: make(protocol.Amounts)}
+	l := protocol.Load{Shard: s.name, Token: s.token, Holds: make(protocol.Amounts)}
 	for _, r := range n.rooms(s, now) {
 		l.CPUs += r.total.CPUs
 		l.Used += r.total.CPUs - r.cpus
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -21,6 +21,8 @@
 	raise     bool // a new token is wanted, to void commands of unknown fate
 	raised    time.Time
 	ownerless time.Time // since when its owner is seen to be away
+	heir      string    // who says that it has acquired the shard since; empty: nobody
+	heard     uint64    // with which token
 	drained   time.Time // when a machine was last emptied to be returned
 
 	machines []*machine          // in use, by name
@@ -48,14 +50,8 @@
 
 func (n *Node) storeShard(name string, r *ledger.Shard, stamp uint64) {
 	s := n.shard(name)
-	s.rec, s.stamp = r, stamp
-	// Commands that were ordered under an earlier token and are not sent yet are
-	// void: another owner may have acted since. Kept, they went out under the next
-	// token and started again what had ended and was booked.
-	for _, m := range s.machines {
-		m.queue = nil
-		delete(n.outbox, m)
-	}
+	s.rec, s.stamp, s.heir = r, stamp, ""
+	n.voidOrders(s)
 	switch {
 	case r == nil || r.Owner != n.cfg.Node:
 		if s.token != 0 {
@@ -80,6 +76,31 @@
 	}
 }
 
+// ousted takes another controller's word that it has acquired a shard which this
+// one takes for its own. A node that the state service refuses alone reads of it
+// nowhere: it went on answering the shard's workers with its old token, they
+// stayed, and the new owner owned machines that never came. The word is advice and
+// costs nothing when wrong: to command less breaks no rule, and the next version
+// of the record clears it.
+func (n *Node) ousted(s *shard, by string, token uint64) {
+	if by == n.cfg.Node || token <= max(s.token, s.heard) || (s.token == 0 && s.heir == "") {
+		return
+	}
+	n.log.Info("shard lost, its new owner says so", "shard", s.name, "to", by, "token", token)
+	s.token, s.heir, s.heard = 0, by, token
+	n.voidOrders(s)
+}
+
+// voidOrders drops the commands that were ordered under an earlier token and are not
+// sent yet: another owner may have acted since. Kept, they went out under the next
+// token and started again what had ended and was booked.
+func (n *Node) voidOrders(s *shard) {
+	for _, m := range s.machines {
+		m.queue = nil
+		delete(n.outbox, m)
+	}
+}
+
 // active tells whether this process may act for a shard: it owns it, and its
 // cache holds everything that earlier owners committed.
 func (n *Node) active(s *shard) bool {
@@ -133,6 +154,8 @@
 	}
 	home, homeLive := n.nodes[s.name]
 	switch {
+	case s.heir != "":
+		// Another has it; the record of that has yet to come.
 	case s.rec == nil:
 		// Never owned. Its home takes it; another only if the home stays away.
 		if s.name == me || (!homeLive && now.Sub(self.since) > 2*n.pol.NodeLease) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -339,6 +339,9 @@
 		return misdirected
 	}
 	s := n.shards[m.rec.Shard]
+	if s != nil && s.heir != "" {
+		return steward(s.heir)
+	}
 	if s == nil || s.token == 0 {
 		if s != nil && s.rec != nil && s.rec.Owner != n.cfg.Node {
 			if kept, ok := n.keepLease(s, r, time.Now()); ok {
@@ -651,6 +654,12 @@
 		m.probing = false
 		if err == nil && status == 200 && r.Host == m.host {
 			n.observe(m, &r)
+			// It answers and has yet to see the token: its worker may be held by an
+			// earlier owner, which the state service and the others do not reach. Once
+			// it has seen the token, no answer of that one counts any more.
+			if s := n.shards[m.rec.Shard]; n.active(s) && m.rec.State == "" && r.Token < s.token {
+				n.send(s, m)
+			}
 			return
 		}
 		n.look(time.Now())
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -69,7 +69,10 @@
 
 // Load is a shard's load as its owner sees it.
 type Load struct {
-	Shard  string  `json:"shard"`
+	Shard string `json:"shard"`
+	// Token is the revision at which the sender acquired the shard. A controller
+	// that holds an older one owns it no longer, whatever its records say.
+	Token  uint64  `json:"token,omitempty"`
 	CPUs   float64 `json:"cpus"`   // of all usable machines
 	Used   float64 `json:"used"`   // by placed tasks
 	Queued float64 `json:"queued"` // wanted by its queue
--- a/internal/protocol/peer_easyjson.go
+++ b/internal/protocol/peer_easyjson.go
@@ -356,6 +356,12 @@
 			} else {
 				out.Shard = string(in.String())
 			}
+		case "token":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Token = uint64(in.Uint64())
+			}
 		case "cpus":
 			if in.IsNull() {
 				in.Skip()
@@ -426,6 +432,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Shard))
 	}
+	if in.Token != 0 {
+		const prefix string = ",\"token\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Token))
+	}
 	{
 		const prefix string = ",\"cpus\":"
 		out.RawString(prefix)
--- a/internal/schedule/calm.go
+++ b/internal/schedule/calm.go
@@ -71,20 +71,14 @@
 // two owners that both place work there.
 func (c *cluster) oneShard() error {
 	in := make(map[string]string)
-	records := c.records()
-	for _, key := range slices.Sorted(maps.Keys(records)) {
-		var h ledger.Hire
-		if !strings.HasPrefix(key, ledger.HireKeys) || json.Unmarshal(records[key], &h) != nil {
-			continue
-		}
-		for i, host := range h.Hosts {
-			if other := in[host]; other != "" && other != h.ShardOf(i) {
-				return fmt.Errorf("two_shards: %s is in %s and, by %s, in %s", host, other, key, h.ShardOf(i))
-			}
-			in[host] = h.ShardOf(i)
-		}
-	}
-	return nil
+	var err error
+	eachHired(c.records(), func(key, host, shard string) {
+		if other := in[host]; other != "" && other != shard && err == nil {
+			err = fmt.Errorf("two_shards: %s is in %s and, by %s, in %s", host, other, key, shard)
+		}
+		in[host] = shard
+	})
+	return err
 }
 
 // settled checks the jobs: each is final at every controller or, a service,
--- a/internal/schedule/cluster.go
+++ b/internal/schedule/cluster.go
@@ -46,6 +46,7 @@
 // cluster is some controllers in a stand-in world.
 type cluster struct {
 	names  []string
+	began  time.Time
 	ctx    context.Context
 	seed   uint64
 	w      *standin.World
@@ -85,7 +86,7 @@
 func newCluster(ctx context.Context, seed uint64, count int) *cluster {
 	names := controllers(count)
 	s := settings(names, names[0])
-	c := &cluster{names: names, ctx: ctx, seed: seed, nodes: make(map[string]*process)}
+	c := &cluster{names: names, began: time.Now(), ctx: ctx, seed: seed, nodes: make(map[string]*process)}
 	c.w = standin.NewWorld(ctx, seed, s.Workers, s.Teams)
 	c.w.State.Limit(s.StateLimit.RPS, s.StateLimit.WriteRPS)
 	c.w.Lag = s.CloudLimit.ListLag
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -66,7 +66,8 @@
 		time.Sleep(time.Minute) // the bubble's goroutines see the end
 	}()
 	out := &Outcome{}
-	began := time.Now()
+	began := c.began
+	go c.watchHeld()
 	for _, name := range c.names {
 		if out.Err = c.start(name); out.Err != nil {
 			return out
@@ -321,8 +322,8 @@
 }
 
 // expect checks what a line says must be so: REF done|cancelled|unknown from
-// every live node that answers (at least one must), REF running N, or returned N
-// machines so far.
+// every live node that answers (at least one must), REF running N, busy N (at least
+// so many tasks run), or returned N machines so far.
 func (c *cluster) expect(f []string) error {
 	if len(f) < 2 {
 		return fmt.Errorf("script: expect what?")
@@ -334,6 +335,13 @@
 		}
 		return nil
 	}
+	if f[0] == "busy" {
+		n, _ := strconv.Atoi(f[1])
+		if got := c.w.Running(""); got < n {
+			return fmt.Errorf("%d tasks run", got)
+		}
+		return nil
+	}
 	if f[0] == "returned" {
 		n, _ := strconv.Atoi(f[1])
 		got := 0
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -113,6 +113,17 @@
 	return out
 }
 
+// Stamps is the revision of each key's latest change.
+func (s *State) Stamps() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]uint64, len(s.keys))
+	for key, v := range s.keys {
+		out[key] = v.stamp
+	}
+	return out
+}
+
 func (s *State) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -695,6 +695,27 @@
 	}
 }
 
+// Held is the highest token that each worker obeys which nothing keeps from being
+// answered: its machine is well, reached by all, and has had an answer lately.
+func (w *World) Held() map[string]uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[string]uint64)
+	for host, m := range w.machines {
+		if !m.gone && !m.hung && !m.dead && !m.cutOff && !w.trouble["zone "+m.zone] && m.token > 0 && time.Since(m.lease) < 2*w.Workers.Report {
+			out[host] = m.token
+		}
+	}
+	return out
+}
+
+// Troubled lists the troubles that are on, in order.
+func (w *World) Troubled() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(w.trouble)), func(name string) bool { return !w.trouble[name] })
+}
+
 // Running counts the tasks of a job that are on machines.
 func (w *World) Running(ref string) int {
 	w.mu.Lock()
