--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -8,6 +8,7 @@
 
 	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
+	"madderslip/internal/quota"
 )
 
 // gathering is the search for room across shards for one gang.
@@ -156,6 +157,9 @@
 			return
 		}
 		n.soughtWide = now
+		for team := range n.cfg.Teams {
+			n.quota.Wish(team, quota.Wide, nil, false, now)
+		}
 		for _, j := range n.wide(now) {
 			if g := n.gathering(j.ref); !g.busy && g.stamp == 0 && now.After(g.again) {
 				n.beginGather(j.ref, g, now)
@@ -273,9 +277,17 @@
 // placeWide places a gathered job whole, on condition of every hold it uses.
 func (n *Node) placeWide(j *job, g *gathering, now time.Time) {
 	spec := j.rec.Spec
-	if g.busy || (n.limited(spec) && n.allowance(spec) < spec.Tasks) {
+	if g.busy {
+		return
+	}
+	if n.limited(spec) && n.allowanceIn(quota.Wide, spec) < spec.Tasks {
+		if n.quota.Allotted(spec.Team) {
+			all := unitOf(spec).Times(float64(spec.Tasks))
+			n.quota.Wish(spec.Team, quota.Wide, &quota.Want{Head: all, Unit: unitOf(spec), Total: all, Rank: spec.Prio(), Born: j.rec.Born, Ref: j.ref, Whole: true}, false, now)
+		}
 		return
 	}
+	n.quota.Wish(spec.Team, quota.Wide, nil, false, now)
 	conds := []ledger.Cond{{Key: ledger.LeaderKey, Stamp: n.leadStamp}, {Key: ledger.GatherKeys + j.ref, Stamp: g.stamp},
 		{Key: ledger.JobKeys + j.ref, Stamp: j.stamp}}
 	var places []ledger.Placement
--- /dev/null
+++ b/internal/coordination/guarantee.go
@@ -0,0 +1,334 @@
+package coordination
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+	"madderslip/internal/quota"
+)
+
+// Work within a team's guarantee goes before others' of the same rank, and may have
+// stopped what another team runs beyond its own guarantee. Before anything is
+// stopped, the claim is booked; package quota says what may be.
+
+// standings is what package quota weighs bookings against.
+type standings struct{ n *Node }
+
+func (w standings) Run(team string) quota.Amount { return w.n.teamRun[team] }
+
+func (w standings) Placed(ref string) quota.Amount {
+	sum := quota.Amount{}
+	if j := w.n.jobs[ref]; j != nil {
+		for _, c := range j.claims {
+			if c.sum.kept {
+				sum = sum.Plus(c.sum.use)
+			}
+		}
+	}
+	return sum
+}
+
+func (w standings) Open(task string) quota.Amount {
+	key, rest, _ := strings.Cut(task, "#")
+	num, host, _ := strings.Cut(rest, "@")
+	c := w.n.claims[key]
+	if id, err := strconv.Atoi(num); err == nil && c != nil && c.spec != nil && c.on[slot{id, host}] != nil {
+		return unitOf(c.spec)
+	}
+	return quota.Amount{}
+}
+
+func (w standings) Owns(shard string) uint64 {
+	if s := w.n.shards[shard]; w.n.active(s) {
+		return s.token
+	}
+	return 0
+}
+
+func (w standings) Keeps(ref, shard string) bool {
+	j, p, b := w.n.jobs[ref], w.n.plans[ref], w.n.bookings[ref]
+	return j != nil && j.rec != nil && !j.rec.Final() && ((p != nil && p.shard == shard) || (b != nil && b.shard == shard))
+}
+
+// victimName names a placement that is to be stopped, as bookings record it.
+func (v *victim) name() string { return fmt.Sprintf("%s#%d@%s", v.c.key, v.task, v.host) }
+
+// dueTasks counts the tasks of a unit that its team may claim on its guarantee now.
+// A gang claims all of them or none.
+func (n *Node) dueTasks(u *unit) int {
+	if !n.quota.Guaranteed(u.spec.Team) {
+		return 0
+	}
+	waiting := u.waiting()
+	due := n.quota.Standing(u.spec.Team, u.j.ref, standings{n}).Due(unitOf(u.spec))
+	if u.spec.Shape == protocol.Gang && due < waiting {
+		return 0
+	}
+	return min(due, waiting)
+}
+
+// dueFirst moves work within its team's guarantee ahead of others' of the same rank.
+// Behind a backlog of borrowers a team waited for its guarantee until they were done.
+func (n *Node) dueFirst(q []*unit) {
+	if !n.guarantees {
+		return
+	}
+	at := make(map[string]quota.Standing)
+	for _, u := range q {
+		team := u.spec.Team
+		if !n.quota.Guaranteed(team) {
+			continue
+		}
+		if u.due = n.quota.Booked(team, u.j.ref); u.due {
+			continue // counted as booked
+		}
+		st, seen := at[team]
+		if !seen {
+			st = n.quota.Standing(team, "", standings{n})
+		}
+		need, waiting := 1, u.waiting()
+		if u.spec.Shape == protocol.Gang {
+			need = waiting
+		}
+		if due := st.Due(unitOf(u.spec)); due >= need && due > 0 {
+			u.due = true
+			st.Booked = st.Booked.Plus(unitOf(u.spec).Times(float64(min(due, waiting))))
+		}
+		at[team] = st
+	}
+	slices.SortStableFunc(q, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(b.spec.Prio(), a.spec.Prio()), cmp.Compare(btoi(b.due), btoi(a.due)))
+	})
+}
+
+// consent says whose work a job may have stopped: that of lower rank, and for what
+// its team's guarantee still covers what other teams borrow. It counts what is taken
+// so that no lender is pushed below its own guarantee.
+type consent struct {
+	spec  *protocol.Submission
+	left  int // tasks that the guarantee covers
+	first int // and covered at first
+	taker *quota.Taker
+	seen  map[string]quota.Standing
+	n     *Node
+}
+
+func (n *Node) consentFor(u *unit) *consent {
+	k := &consent{spec: u.spec, left: n.dueTasks(u), n: n, seen: make(map[string]quota.Standing)}
+	k.reset()
+	return k
+}
+
+// byRank consents to the displacement of lower ranks alone.
+func (n *Node) byRank(spec *protocol.Submission) *consent { return &consent{spec: spec, n: n} }
+
+func (k *consent) reset() {
+	k.taker = &quota.Taker{Claimed: unitOf(k.spec), Of: func(team string) quota.Standing {
+		st, ok := k.seen[team]
+		if !ok {
+			st = k.n.quota.Standing(team, "", standings{k.n})
+			k.seen[team] = st
+		}
+		return st
+	}}
+}
+
+// may tells whether one more task may be stopped, beside those chosen so far.
+func (k *consent) may(v *protocol.Submission, chosen []victim) bool {
+	if v.Prio() < k.spec.Prio() {
+		return true
+	}
+	if k.left == 0 || v.Team == k.spec.Team {
+		return false
+	}
+	beside := quota.Amount{}
+	for i := range chosen {
+		if s := chosen[i].c.spec; s.Team == v.Team && k.borrowed(&chosen[i]) {
+			beside = beside.Plus(unitOf(s))
+		}
+	}
+	return k.taker.May(v.Team, unitOf(v), beside)
+}
+
+// borrowed tells that a victim is taken for the guarantee, not for its rank.
+func (k *consent) borrowed(v *victim) bool { return v.c.spec.Prio() >= k.spec.Prio() }
+
+// took notes what was chosen for one task.
+func (k *consent) took(list []victim) {
+	claims := false
+	for i := range list {
+		if k.borrowed(&list[i]) {
+			k.taker.Take(list[i].c.spec.Team, unitOf(list[i].c.spec))
+			claims = true
+		}
+	}
+	if claims && k.left > 0 {
+		k.left--
+	}
+}
+
+// booking is a displacement that waits for its claim on the guarantee to be on
+// record, and for the cache to show all that was placed before.
+type booking struct {
+	shard string
+	team  string
+	at    uint64 // the record's revision; 0 while it is on its way
+	until time.Time
+	plan  []bookedRoom
+	tasks int // of the job, for which what is borrowed is taken
+}
+
+type bookedRoom struct {
+	host    string
+	victims []victim
+}
+
+// book has a displacement booked, if it takes what is borrowed.
+func (n *Node) book(s *shard, u *unit, plan []eviction, k *consent, now time.Time) {
+	ref := u.j.ref
+	b := &booking{shard: s.name, team: u.spec.Team, until: now.Add(planFor)}
+	victims := make(map[string][]string)
+	tasks := 0
+	for _, e := range plan {
+		b.plan = append(b.plan, bookedRoom{e.r.host, e.victims})
+		claims := false
+		for i := range e.victims {
+			if v := &e.victims[i]; k.borrowed(v) {
+				victims[v.c.spec.Team] = append(victims[v.c.spec.Team], v.name())
+				claims = true
+			}
+		}
+		if claims || u.together() {
+			tasks++ // where lower ranks give way alone the guarantee is not asked
+		}
+	}
+	n.bookings[ref], b.tasks = b, tasks
+	use := unitOf(u.spec).Times(float64(tasks)).Plus(standings{n}.Placed(ref))
+	conds, ops := n.quota.Book(quota.Claim{Team: b.team, Ref: ref, Shard: s.name, Token: s.token, Use: use, Victims: victims})
+	conds = append(conds, ledger.Cond{Key: ledger.ShardKeys + s.name, Stamp: s.token}, ledger.Cond{Key: ledger.JobKeys + ref, Stamp: u.j.stamp})
+	n.commit(ledger.PrioClaim, conds, ops, 0, func(err error) {
+		if err != nil {
+			n.log.Debug("guarantee not booked", "job", ref, "team", b.team, "err", err)
+			if n.bookings[ref] == b {
+				delete(n.bookings, ref)
+			}
+			return
+		}
+		b.at = n.stamps[ledger.BookKeys+b.team]
+		s.stirred = true
+	})
+}
+
+// carryOutBooked stops what a booking names, once all that was placed before it is
+// known and it still holds. Where it does not the booking goes, and nothing is
+// stopped.
+func (n *Node) carryOutBooked(s *shard, u *unit, b *booking, rooms []*room, now time.Time) bool {
+	if b.shard != s.name || b.at == 0 || n.epoch < b.at {
+		return false
+	}
+	delete(n.bookings, u.j.ref)
+	byHost := make(map[string]*room, len(rooms))
+	for _, r := range rooms {
+		byHost[r.host] = r
+	}
+	k := n.consentFor(u)
+	k.first = k.left
+	// What is on record for this very job is leaving in its own name.
+	k.seen = make(map[string]quota.Standing)
+	k.taker.Of = func(team string) quota.Standing { return n.quota.StandingBut(team, u.j.ref, standings{n}) }
+	var plan []eviction
+	for _, br := range b.plan {
+		r := byHost[br.host]
+		if r == nil || !r.usable {
+			continue
+		}
+		e := eviction{r: r}
+		for _, v := range br.victims {
+			if _, going := v.c.evict[v.task]; v.c.on[slot{v.task, br.host}] == nil || going || !k.may(v.c.spec, e.victims) {
+				continue
+			}
+			e.victims = append(e.victims, v)
+		}
+		if len(e.victims) > 0 {
+			k.took(e.victims)
+			plan = append(plan, e)
+		}
+	}
+	if k.first < b.tasks || (u.together() && len(plan) < len(b.plan)) {
+		// It goes as a whole and is made anew: what is on record is what is taken.
+		n.log.Debug("a booking does not hold any more", "job", u.j.ref, "team", b.team)
+		return false
+	}
+	for _, e := range plan {
+		for i := range e.victims {
+			if v := &e.victims[i]; k.borrowed(v) {
+				if v.c.lentTo == nil {
+					v.c.lentTo = make(map[slot]string)
+				}
+				v.c.lentTo[slot{v.task, v.host}] = u.j.ref
+			}
+		}
+		n.carryOut(s, u, e, now)
+	}
+	return len(plan) > 0
+}
+
+// StoppedFor tells for which job's guarantee this node has a task stopped; empty: for
+// none, whatever else it may be stopped for.
+func (n *Node) StoppedFor(ref string, task int, host string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if j := n.jobs[ref]; j != nil && j.size > 0 {
+		if c := j.claims[task/j.size]; c != nil && c.on[slot{task, host}] != nil {
+			return c.lentTo[slot{task, host}]
+		}
+	}
+	return ""
+}
+
+// tidyBookings frees what jobs have booked and do not use any more, and withdraws
+// the stops for them that were not sent yet.
+func (n *Node) tidyBookings(now time.Time) {
+	for ref, b := range n.bookings {
+		if j := n.jobs[ref]; (now.After(b.until) && b.at != 0) || j == nil || j.rec.Final() || !n.active(n.shards[b.shard]) {
+			delete(n.bookings, ref)
+		}
+	}
+	if n.unbooking {
+		return
+	}
+	refs := n.quota.Spent(standings{n})
+	if len(refs) == 0 {
+		return
+	}
+	refs = refs[:min(len(refs), 4)]
+	for _, task := range n.quota.TakenFor(refs) {
+		n.withdraw(task)
+	}
+	n.unbooking = true
+	conds, ops := n.quota.Unbook(refs)
+	n.commit(ledger.PrioClaim, conds, ops, 0, func(error) { n.unbooking = false })
+}
+
+// withdraw takes a stop back that was not sent yet.
+func (n *Node) withdraw(task string) {
+	key, rest, _ := strings.Cut(task, "#")
+	num, host, _ := strings.Cut(rest, "@")
+	c, m := n.claims[key], n.machines[host]
+	id, err := strconv.Atoi(num)
+	if err != nil || c == nil || m == nil {
+		return
+	}
+	since, going := c.evict[id]
+	if p := c.on[slot{id, host}]; going && p != nil && !m.stopped[p.name].After(since) && !m.stopped[p.name].Equal(since) {
+		delete(c.evict, id)
+		p.at.touch()
+		n.mark(c)
+	}
+}
--- a/internal/coordination/index.go
+++ b/internal/coordination/index.go
@@ -62,6 +62,8 @@
 	key  teamShard
 	use  [2]float64
 	kept bool
+	// stays tells that it does not end by itself: replicas of services.
+	stays bool
 }
 
 // reindex brings the indexes in line with a claim. It is called after every
@@ -87,6 +89,7 @@
 			continue
 		}
 		delete(c.on, id)
+		delete(c.lentTo, id)
 		delete(p.at.places, p.name)
 		p.at.touch()
 		if len(p.at.places) == 0 && p.at.m == nil {
@@ -131,6 +134,9 @@
 		t := n.teamRun[c.sum.key.team]
 		t[0], t[1] = t[0]-c.sum.use[0], t[1]-c.sum.use[1]
 		n.teamRun[c.sum.key.team] = t
+		if c.sum.stays {
+			n.teamKept[c.sum.key.team] = n.teamKept[c.sum.key.team].Less(c.sum.use)
+		}
 	}
 	c.sum = tally{}
 	rec := c.rec
@@ -141,7 +147,12 @@
 	if live && rec != nil {
 		shard, wide = rec.Shard, rec.Shard == ""
 		if c.spec != nil {
-			c.sum = tally{teamShard{c.spec.Team, rec.Shard}, [2]float64{float64(len(rec.Open)) * c.spec.CPUs, float64(len(rec.Open)) * c.spec.GPUs}, true}
+			// Of a version being committed and the committed one the larger counts: what
+			// is on its way up may be there, what is on its way down may stay.
+			c.sum = tally{teamShard{c.spec.Team, rec.Shard}, unitOf(c.spec).Times(float64(c.booked())), true, c.spec.Shape == protocol.Service}
+			if c.sum.stays {
+				n.teamKept[c.spec.Team] = n.teamKept[c.spec.Team].Plus(c.sum.use)
+			}
 			u := n.use[c.sum.key]
 			n.use[c.sum.key] = [2]float64{u[0] + c.sum.use[0], u[1] + c.sum.use[1]}
 			t := n.teamRun[c.sum.key.team]
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -16,6 +16,7 @@
 	"madderslip/internal/ledger"
 	"madderslip/internal/policy"
 	"madderslip/internal/protocol"
+	"madderslip/internal/quota"
 	"madderslip/internal/recovery"
 )
 
@@ -71,6 +72,13 @@
 	lookingUp  bool                         // the jobs of some of them are being read
 	final      map[string]finalJob
 	teams      map[string]*teamUse
+	quota      *quota.Keeper
+	teamKept   map[string]quota.Amount // what services use, which never end
+	guarantees bool                    // some team has one
+	bookings   map[string]*booking     // by job
+	unbooking  bool
+	wanted     bool // the others were last told of wants
+	wantedAt   time.Time
 	hires      map[string]*hire
 	lead       string
 	leadMine   bool // this very process leads
@@ -116,8 +124,10 @@
 }
 
 type nodeSeen struct {
-	stamp uint64
-	since time.Time
+	stamp   uint64
+	since   time.Time
+	version int    // of what it understands of limits
+	teams   uint64 // hash of the limits it was given
 }
 
 type waitsSeen struct {
@@ -183,8 +193,13 @@
 		heardFrom: make(map[string]time.Time), waits: make(map[string]waitsSeen), cutSeen: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
 		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
+		teamKept: make(map[string]quota.Amount), bookings: make(map[string]*booking),
 		ctx: context.Background(),
 	}
+	n.quota = quota.New(o.Settings.Teams, o.Policy.Allotments, n.usedBy)
+	for name := range o.Settings.Teams {
+		n.guarantees = n.guarantees || n.quota.Guaranteed(name)
+	}
 	if n.stand = o.Stand; n.stand == nil {
 		n.stand = func(context.Context) {}
 	}
@@ -310,6 +325,8 @@
 	ttl := n.pol.NodeLease
 	key := ledger.NodeKeys + n.cfg.Node
 	var permit uint64
+	rec := &ledger.Node{Boot: n.boot.UnixMilli()}
+	rec.Version, rec.Teams = n.quota.Says()
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		loaded, live := n.loaded, n.nodes[n.cfg.Node]
@@ -331,7 +348,7 @@
 		if !mine {
 			wait := make(chan error, 1)
 			n.mu.Lock()
-			n.commit(ledger.PrioLease, nil, []ledger.Op{{Key: key, Value: &ledger.Node{Boot: n.boot.UnixMilli()}, Grant: permit}}, 2*time.Second,
+			n.commit(ledger.PrioLease, nil, []ledger.Op{{Key: key, Value: rec, Grant: permit}}, 2*time.Second,
 				func(err error) {
 					if err == nil {
 						n.permit = permit
@@ -372,7 +389,7 @@
 		if seen.stamp == 0 {
 			seen.since = time.Now()
 		}
-		seen.stamp = stamp
+		seen.stamp, seen.version, seen.teams = stamp, r.Version, r.Teams
 		n.nodes[name] = seen
 	}
 	n.shareBudget(time.Now())
@@ -389,7 +406,9 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if keys := n.doubtful(res, t); len(keys) > 0 {
-			go n.refresh(keys, func() { done(res.Err) })
+			// One without a deadline reserves something: its caller may not go on before it
+			// is known what became of it.
+			go n.refresh(keys, res.Epoch, t.Deadline.IsZero(), func() { done(res.Err) })
 			return
 		}
 		if res.Err == nil {
@@ -423,15 +442,27 @@
 	return keys
 }
 
-// refresh reads keys into the cache and then calls done with the lock held.
-func (n *Node) refresh(keys []string, done func()) {
+// refresh reads keys into the cache and then calls done with the lock held. With
+// insist set it goes on until each is read, or the watch has come to the revision
+// at which the transaction failed: a limited team's start whose fate was forgotten
+// was missing in what the team used.
+func (n *Node) refresh(keys []string, epoch uint64, insist bool, done func()) {
 	n.mu.Lock()
-	ctx := n.ctx
+	life := n.ctx
 	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(life, 2*time.Second)
 	defer cancel()
 	for _, key := range keys {
 		it, err := n.led.Get(ctx, key)
+		for err != nil && insist && life.Err() == nil {
+			n.mu.Lock()
+			reached := epoch > 0 && n.epoch >= epoch
+			n.mu.Unlock()
+			if reached || !n.pause(life, refreshGap) {
+				break
+			}
+			it, err = n.led.Get(life, key)
+		}
 		if err != nil {
 			continue
 		}
@@ -445,6 +476,8 @@
 	n.poke()
 }
 
+const refreshGap = 300 * time.Millisecond
+
 // call makes an HTTP call with a JSON answer.
 func (n *Node) call(ctx context.Context, addr, method, target string, in, out any, timeout time.Duration) (int, error) {
 	var body []byte
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -37,6 +37,7 @@
 			}
 		}
 	}
+	msg.Wants, msg.Wanting = n.quota.Wants(time.Now()), true
 	for _, name := range n.shardNames() {
 		if s := n.shards[name]; n.active(s) {
 			msg.Loads = append(msg.Loads, n.loadOf(s))
@@ -85,6 +86,13 @@
 	n.broadcast(n.ctx, msg)
 }
 
+// announceKey passes a record just committed on.
+func (n *Node) announceKey(key string, rec any) {
+	if raw, err := protocol.Encode(rec); err == nil {
+		n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Fresh: []protocol.KeyNews{{Key: key, Value: raw, Stamp: n.stamps[key]}}})
+	}
+}
+
 // announceFinal passes a finished job on, since its users ask any node.
 func (n *Node) announceFinal(ref string) {
 	f, ok := n.final[ref]
@@ -113,6 +121,12 @@
 	if msg.Beat {
 		n.waits[msg.From] = waitsSeen{msg.Waits, now}
 	}
+	if msg.Wanting {
+		n.quota.Heard(msg.From, msg.Wants, now)
+		if len(msg.Wants) > 0 {
+			n.poke()
+		}
+	}
 	if msg.StateOK {
 		n.stateOKAt[msg.From] = now
 	}
@@ -127,7 +141,7 @@
 	n.leaveTo(msg.Planned, now.Add(planFor))
 	if n.loaded {
 		for _, k := range msg.Fresh {
-			if len(k.Value) > 0 && (strings.HasPrefix(k.Key, ledger.JobKeys) || strings.HasPrefix(k.Key, ledger.ClaimKeys)) {
+			if len(k.Value) > 0 && (strings.HasPrefix(k.Key, ledger.JobKeys) || strings.HasPrefix(k.Key, ledger.ClaimKeys) || strings.HasPrefix(k.Key, ledger.AllotKeys)) {
 				n.take(ledger.Item{Key: k.Key, Value: k.Value, Stamp: k.Stamp})
 			}
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -46,6 +46,7 @@
 type victim struct {
 	c     *claim
 	task  int
+	host  string
 	began time.Time
 }
 
@@ -356,7 +357,7 @@
 
 // displaceFor plans the room for so many tasks that must start together, if all
 // of them can have it. The rooms are left as they were.
-func displaceFor(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, need int, may func(*protocol.Submission) bool, now time.Time) []eviction {
+func displaceFor(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, need int, ask *consent, now time.Time) []eviction {
 	var best []eviction
 	bestCost := math.Inf(1)
 	for _, zone := range zonesIn(s, rooms) {
@@ -366,6 +367,7 @@
 			copies[i] = *r
 			try[i] = &copies[i]
 		}
+		ask.reset()
 		zr := zoneRule{use: maps.Clone(z.use), limit: z.limit, only: z.only}
 		if zone != "" && zr.only == "" {
 			zr.only = zone
@@ -376,7 +378,7 @@
 			at := choose(s, ref, try, &zr, 0, now)
 			var victims []victim
 			if at < 0 || (!try[at].holds(s.Image) && s.ImageGB > 0) {
-				if i, v := displace(s, ref, try, &zr, may, now); len(v) > 0 && (at < 0 || try[i].holds(s.Image)) {
+				if i, v := displace(s, ref, try, &zr, ask, now); len(v) > 0 && (at < 0 || try[i].holds(s.Image)) {
 					at, victims = i, v
 				}
 			}
@@ -388,6 +390,7 @@
 				cost += v.lost(now)
 				r.give(v.c.spec)
 			}
+			ask.took(victims)
 			r.victims = without(r.victims, victims)
 			r.take(s)
 			zr.add(s, r.zone)
@@ -400,6 +403,41 @@
 	return best
 }
 
+// displaceSome plans room for as many tasks of a unit as can have it, or for all if
+// they must start together. The rooms are left as they were.
+func displaceSome(u *unit, rooms []*room, z *zoneRule, ask *consent, now time.Time) []eviction {
+	if u.together() {
+		return displaceFor(u.spec, u.j.ref, rooms, z, u.waiting(), ask, now)
+	}
+	try, copies := make([]*room, len(rooms)), make([]room, len(rooms))
+	for i, r := range rooms {
+		copies[i] = *r
+		try[i] = &copies[i]
+	}
+	zr := zoneRule{use: maps.Clone(z.use), limit: z.limit, only: z.only}
+	var plan []eviction
+	for range min(u.waiting(), mostDisplaced) {
+		at, victims := displace(u.spec, u.j.ref, try, &zr, ask, now)
+		if len(victims) == 0 {
+			break
+		}
+		r := try[at]
+		for _, v := range victims {
+			r.give(v.c.spec)
+		}
+		ask.took(victims)
+		r.victims = without(r.victims, victims)
+		r.take(u.spec)
+		r.hold(u.spec, u.j.ref, 0, now)
+		zr.add(u.spec, r.zone)
+		plan = append(plan, eviction{rooms[at], victims})
+	}
+	return plan
+}
+
+// mostDisplaced bounds the tasks that one pass makes room for.
+const mostDisplaced = 16
+
 // zonesIn lists the zones to try for a job that must stay in one; else "".
 func zonesIn(s *protocol.Submission, rooms []*room) []string {
 	if !s.SameZone {
@@ -422,7 +460,7 @@
 
 // displace chooses the machine where making room for one task of higher
 // priority throws the least work away, and the tasks to stop there.
-func displace(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, may func(*protocol.Submission) bool, now time.Time) (int, []victim) {
+func displace(s *protocol.Submission, ref string, rooms []*room, z *zoneRule, ask *consent, now time.Time) (int, []victim) {
 	var best []victim
 	at := -1
 	bestCost := math.Inf(1)
@@ -439,7 +477,7 @@
 			if c+eps >= s.CPUs && g+eps >= s.GPUs && m+eps >= s.MemGB {
 				break
 			}
-			if !may(v.c.spec) {
+			if !ask.may(v.c.spec, out) {
 				continue
 			}
 			c, g, m, cost = c+v.c.spec.CPUs, g+v.c.spec.GPUs, m+v.c.spec.MemGB, cost+v.lost(now)
--- a/internal/coordination/place_test.go
+++ b/internal/coordination/place_test.go
@@ -59,7 +59,7 @@
 		rooms[i].victims = []victim{{c: &claim{spec: s, key: fmt.Sprint(i)}, began: now.Add(-time.Minute)}}
 	}
 	gang := &protocol.Submission{Shape: protocol.Gang, CPUs: 8, Rank: "high"}
-	may := func(v *protocol.Submission) bool { return v.Prio() < gang.Prio() }
+	may := new(Node).byRank(gang)
 	z := newZoneRule(gang, nil)
 	if plan := displaceFor(gang, "wk-1", rooms, &z, 3, may, now); plan != nil {
 		t.Fatalf("planned %v although a service is in the way", plan)
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -3,13 +3,13 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"madderslip/internal/ledger"
 	"madderslip/internal/protocol"
+	"madderslip/internal/quota"
 )
 
 // unit is a queued chunk at one shard: unclaimed, or claimed with tasks left.
@@ -18,6 +18,7 @@
 	c     *claim
 	chunk int
 	spec  *protocol.Submission
+	due   bool // within its team's guarantee
 }
 
 func (u *unit) bounds() (first, count int) {
@@ -103,6 +104,7 @@
 		}
 		return a.chunk - b.chunk
 	})
+	n.dueFirst(q)
 	return q
 }
 
@@ -230,7 +232,7 @@
 	if m.tasks[p.name] == nil {
 		return // not there yet: it cannot be stopped
 	}
-	m.victims = append(m.victims, victim{c: c, task: p.task, began: began})
+	m.victims = append(m.victims, victim{c: c, task: p.task, host: m.host, began: began})
 }
 
 // lost is the CPU time that displacing it now would throw away.
@@ -277,20 +279,12 @@
 	}
 }
 
-// beyondGuarantee tells whether a team borrows the kind of resource that a job
-// of its own uses.
-func (n *Node) beyondGuarantee(spec *protocol.Submission) bool {
-	t, use := n.cfg.Teams[spec.Team], n.teamRun[spec.Team]
-	if spec.GPUs > 0 {
-		return use[1] > t.GPUs+eps
-	}
-	return t.CPUs > 0 && use[0] > t.CPUs+eps
-}
-
 // schedule is one pass over a shard's queue: first come first served within a
 // priority, with EASY backfilling around a reservation for the head job.
 func (n *Node) schedule(s *shard, now time.Time) {
 	q := n.queueOf(s, now)
+	w := &wishes{of: make(map[string]*quota.Want), looked: make(map[string]int), started: make(map[string]bool)}
+	defer n.tellWishes(s.name, w, now)
 	if len(q) == 0 {
 		return
 	}
@@ -305,7 +299,7 @@
 	failedSpecs := make(map[failKey]bool)
 	free := mostOf(rooms)
 	for _, u := range q {
-		if u.spec.Shape == protocol.Array && blocked && !free.fits(u.spec) {
+		if u.spec.Shape == protocol.Array && blocked && !u.due && !free.fits(u.spec) {
 			continue // no machine has room for even one of its tasks
 		}
 		key := failKey{u.spec.CPUs, u.spec.GPUs, u.spec.MemGB, u.spec.Image, u.spec.Prio(), u.spec.Zone, u.spec.Shape, u.spec.Spot, 0, ""}
@@ -315,7 +309,7 @@
 		if len(u.spec.Types) > 0 {
 			key.types = strings.Join(u.spec.Types, " ")
 		}
-		if failedSpecs[key] || n.overLimit(u) || (saving && u.spec.Shape == protocol.Array) {
+		if failedSpecs[key] || n.heldUp(s, u, rooms, w, now) || (saving && u.spec.Shape == protocol.Array) {
 			continue
 		}
 		if n.plans[u.j.ref] == nil && n.displaceForImage(s, u, rooms, now) {
@@ -325,6 +319,7 @@
 		placed, short := n.placeUnit(s, u, rooms, now)
 		if placed {
 			delete(n.plans, u.j.ref)
+			w.started[u.spec.Team] = true
 		}
 		if !short || placed || n.plans[u.j.ref] != nil {
 			continue
@@ -333,7 +328,7 @@
 		// So may its own failures there, which say nothing about others alike.
 		failedSpecs[key] = ((!u.spec.Spread && !u.spec.SameZone) || u.c == nil || len(u.c.rec.Open) == 0) &&
 			!slices.ContainsFunc(rooms, func(r *room) bool { return r.recentErrors[u.j.ref] })
-		if blocked && u.spec.Shape == protocol.Array {
+		if blocked && u.spec.Shape == protocol.Array && !u.due {
 			continue
 		}
 		// The head job gets the reservation of EASY. Gangs and services behind
@@ -365,7 +360,7 @@
 // then it waits for room: displacing for an objective that is lost anyway only
 // throws work away.
 func (n *Node) startBy(u *unit, rooms []*room, z *zoneRule, now time.Time) time.Time {
-	if u.spec.Shape == protocol.Array {
+	if u.spec.Shape == protocol.Array && !u.due {
 		return now.Add(time.Hour) // arrays displace nothing for a wait alone
 	}
 	soonest := now.Add(soonestFetch(u.spec, rooms, z))
@@ -402,7 +397,7 @@
 		return false
 	}
 	n.detail(rooms, now)
-	at, victims := displace(u.spec, u.j.ref, rooms, &z, n.mayDisplace(u.spec, false), now)
+	at, victims := displace(u.spec, u.j.ref, rooms, &z, n.byRank(u.spec), now)
 	return len(victims) > 0 && rooms[at].holds(u.spec.Image) && n.makeRoom(s, u, rooms, now)
 }
 
@@ -413,7 +408,7 @@
 // objectiveStart is when a job must start to meet an objective, if it has it.
 func (n *Node) objectiveStart(o protocol.Objective, u *unit) (time.Time, bool) {
 	switch {
-	case o.Kind == "guarantee" && n.withinGuarantee(u.spec), o.Kind == "wait" && o.Class == u.spec.Class:
+	case o.Kind == "guarantee" && n.dueTasks(u) > 0, o.Kind == "wait" && o.Class == u.spec.Class:
 		return u.j.seen.Add(o.Within), true
 	case o.Kind == "finished" && o.Class == u.spec.Class:
 		return u.j.seen.Add(o.Within - n.estimate(u.spec)), true
@@ -424,20 +419,6 @@
 	return time.Time{}, false
 }
 
-// overLimit tells that a unit's team has no room under its limit. Such a unit
-// neither reserves nor displaces: making room that it may not use threw away
-// work in a circle.
-func (n *Node) overLimit(u *unit) bool {
-	if !n.limited(u.spec) {
-		return false
-	}
-	count := 1
-	if u.spec.Shape == protocol.Gang {
-		count = u.waiting()
-	}
-	return n.allowance(u.spec) < count
-}
-
 // failKey names what a job asks for, so that a pass need not try the same
 // again for every job alike.
 type failKey struct {
@@ -474,19 +455,6 @@
 	return zones
 }
 
-// allowance is how many more tasks of a job its team's limit permits.
-func (n *Node) allowance(spec *protocol.Submission) int {
-	limit, use := n.cfg.Teams[spec.Team], n.teamRun[spec.Team]
-	free := math.MaxInt32
-	if limit.CPUsMax > 0 && spec.CPUs > 0 {
-		free = min(free, int((limit.CPUsMax-use[0]+eps)/spec.CPUs))
-	}
-	if limit.GMax > 0 && spec.GPUs > 0 {
-		free = min(free, int((limit.GMax-use[1]+eps)/spec.GPUs))
-	}
-	return max(0, free)
-}
-
 // placeUnit places as many tasks of a unit as there is room for. short is true
 // when tasks are left for want of room.
 func (n *Node) placeUnit(s *shard, u *unit, rooms []*room, now time.Time) (placed, short bool) {
@@ -501,7 +469,7 @@
 	}
 	need := u.waiting()
 	whole := u.spec.Shape == protocol.Gang
-	picks := n.pickHosts(u, next, rooms, &z, now)
+	picks := n.pickHosts(s.name, u, next, rooms, &z, now)
 	if whole && u.spec.SameZone && len(picks) < need {
 		// The best machine for the first task may be in a zone without room for the
 		// rest: such a gang waited for ever beside another zone's free machines.
@@ -513,7 +481,7 @@
 				continue
 			}
 			z.only = zone
-			if picks = n.pickHosts(u, next, rooms, &z, now); len(picks) == need {
+			if picks = n.pickHosts(s.name, u, next, rooms, &z, now); len(picks) == need {
 				break
 			}
 		}
@@ -567,7 +535,7 @@
 }
 
 // pickHosts chooses machines for the tasks of a unit that have none.
-func (n *Node) pickHosts(u *unit, rec *ledger.Claim, rooms []*room, z *zoneRule, now time.Time) []pick {
+func (n *Node) pickHosts(holder string, u *unit, rec *ledger.Claim, rooms []*room, z *zoneRule, now time.Time) []pick {
 	open := make(map[int]bool, len(rec.Open))
 	for _, p := range rec.Open {
 		open[p.Task] = true
@@ -575,7 +543,7 @@
 	est := n.estimate(u.spec)
 	most := n.cfg.StateLimit.MaxOpen() - len(open)
 	if n.limited(u.spec) {
-		most = min(most, n.allowance(u.spec))
+		most = min(most, n.allowanceIn(holder, u.spec)+n.bookable(u.c))
 	}
 	var picks []pick
 	for t := rec.First; t < rec.First+rec.Count && len(picks) < most; t++ {
@@ -660,7 +628,7 @@
 		rooms := n.rooms(s, now)
 		z := newZoneRule(spec, nil)
 		next := &ledger.Claim{Shard: name, Count: spec.Tasks, Try: 1}
-		picks := n.pickHosts(u, next, rooms, &z, now)
+		picks := n.pickHosts(s.name, u, next, rooms, &z, now)
 		if len(picks) < spec.Tasks {
 			continue
 		}
@@ -737,27 +705,23 @@
 	if n.plans[u.j.ref] != nil || !n.displacesHere(s, u, now) {
 		return false
 	}
+	if b := n.bookings[u.j.ref]; b != nil {
+		return n.carryOutBooked(s, u, b, rooms, now)
+	}
 	z := n.zonesOf(u)
 	n.detail(rooms, now)
-	may := n.mayDisplace(u.spec, n.withinGuarantee(u.spec))
-	if u.together() {
-		plan := displaceFor(u.spec, u.j.ref, rooms, &z, u.waiting(), may, now)
-		for _, e := range plan {
-			n.carryOut(s, u, e, now)
-		}
-		return len(plan) > 0
-	}
-	found := false
-	for range min(u.waiting(), 16) {
-		at, victims := displace(u.spec, u.j.ref, rooms, &z, may, now)
-		if len(victims) == 0 {
-			break
-		}
-		found = true
-		n.carryOut(s, u, eviction{rooms[at], victims}, now)
-		z.add(u.spec, rooms[at].zone)
+	ask := n.consentFor(u)
+	plan := displaceSome(u, rooms, &z, ask, now)
+	if slices.ContainsFunc(plan, func(e eviction) bool {
+		return slices.ContainsFunc(e.victims, func(v victim) bool { return ask.borrowed(&v) })
+	}) {
+		n.book(s, u, plan, ask, now)
+		return false
 	}
-	return found
+	for _, e := range plan {
+		n.carryOut(s, u, e, now)
+	}
+	return len(plan) > 0
 }
 
 // displacesHere tells whether a shard may displace for a unit. For work that
@@ -804,27 +768,3 @@
 		}
 	}
 }
-
-// mayDisplace says whose work a job may displace: that of lower priority, and
-// for a job within its team's guarantee what another team borrows.
-func (n *Node) mayDisplace(spec *protocol.Submission, guaranteed bool) func(*protocol.Submission) bool {
-	return func(v *protocol.Submission) bool {
-		return v.Prio() < spec.Prio() || (guaranteed && v.Team != spec.Team && n.beyondGuarantee(v))
-	}
-}
-
-// withinGuarantee tells whether a job fits its team's guarantee beside what
-// the team runs now.
-func (n *Node) withinGuarantee(spec *protocol.Submission) bool {
-	t := n.cfg.Teams[spec.Team]
-	if t.CPUs == 0 && t.GPUs == 0 {
-		return false
-	}
-	use := n.teamRun[spec.Team]
-	cpus, gpus := use[0]+spec.CPUs*float64(spec.Tasks), use[1]+spec.GPUs*float64(spec.Tasks)
-	if spec.GPUs > 0 {
-		return t.GPUs > 0 && gpus <= t.GPUs+eps && (t.CPUs == 0 || cpus <= t.CPUs+eps)
-	}
-	// A guarantee of cards alone gives work without cards no claim on others.
-	return t.CPUs > 0 && cpus <= t.CPUs+eps
-}
--- a/internal/coordination/recount.go
+++ b/internal/coordination/recount.go
@@ -40,7 +40,7 @@
 		if c.spec != nil {
 			k := teamShard{c.spec.Team, rec.Shard}
 			u := use[k]
-			use[k] = [2]float64{u[0] + float64(len(rec.Open))*c.spec.CPUs, u[1] + float64(len(rec.Open))*c.spec.GPUs}
+			use[k] = [2]float64{u[0] + float64(c.booked())*c.spec.CPUs, u[1] + float64(c.booked())*c.spec.GPUs}
 		}
 	}
 	for host, h := range n.hosts {
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -76,6 +76,8 @@
 	if n.leading() {
 		n.gather(now)
 	}
+	n.share(now)
+	n.tidyBookings(now)
 	if len(n.intents)+len(n.planned) > 0 {
 		n.broadcast(n.ctx, protocol.PeerMessage{From: n.cfg.Node, StateOK: true, Intents: n.intents, Planned: n.planned})
 		n.intents, n.planned = nil, nil
@@ -167,7 +169,7 @@
 func (n *Node) settleClaim(s *shard, j *job, c *claim, now time.Time) {
 	next := c.rec.Clone()
 	next.Open = next.Open[:0]
-	changed, pressing, uneasy := false, n.limited(c.spec), j.rec.Final()
+	changed, pressing, uneasy := false, n.limited(c.spec) && (!n.quota.Allotted(c.spec.Team) || n.quota.Sought(c.spec.Team)), j.rec.Final()
 	if c.spec.Shape == protocol.Gang && len(c.rec.Open) > 0 && len(c.rec.Open)+c.rec.NumDone() < c.rec.Count {
 		c.halt = c.rec.Try // it was placed whole, so a task has been lost
 	}
@@ -428,78 +430,6 @@
 	return time.Duration(float64(s.Expect()) * ratio)
 }
 
-// limited tells whether a job's team has a limit that its tasks count against.
-func (n *Node) limited(s *protocol.Submission) bool {
-	t := n.cfg.Teams[s.Team]
-	return (t.CPUsMax > 0 && s.CPUs > 0) || (t.GMax > 0 && s.GPUs > 0)
-}
-
-// reserveTeam makes the condition and the change by which a limited team's use
-// of a shard goes along with a claim. ok is false when it can't be done now.
-func (n *Node) reserveTeam(shard string, c *claim, next *ledger.Claim) (conds []ledger.Cond, ops []ledger.Op, t *teamUse, ok bool) {
-	if !n.limited(c.spec) {
-		return nil, nil, nil, true
-	}
-	t = n.team(c.spec.Team)
-	if t.busy {
-		return nil, nil, nil, false
-	}
-	if next.Shard == "" {
-		shard = "*" + c.ref // several owners change it, so it has an entry of its own
-	}
-	use, most := n.teamAfter(t, shard, c, next)
-	key := ledger.TeamKeys + c.spec.Team
-	rec := &ledger.Team{Use: map[string][2]float64{shard: use}}
-	total := most
-	for name, u := range t.rec.Use {
-		if name != shard {
-			rec.Use[name] = u
-			total[0] += u[0]
-			total[1] += u[1]
-		}
-	}
-	limit := n.cfg.Teams[c.spec.Team]
-	if len(next.Open) > c.placed() && ((limit.CPUsMax > 0 && total[0] > limit.CPUsMax+eps) || (limit.GMax > 0 && total[1] > limit.GMax+eps)) {
-		return nil, nil, nil, false
-	}
-	return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op{{Key: key, Value: rec}}, t, true
-}
-
-// teamAfter is what a team uses of a shard once a claim has its next version,
-// as it goes into the record, and the most that it may be.
-//
-// The team's record and the claim are conditions of the transaction, so what
-// the record says, changed by what the claim changes by, is exact whatever the
-// cache holds of the shard's other claims. To add those up is not: after a
-// commit of unknown fate the record is read again before the claim that went
-// with it, and claims whose job is not known yet have no size. A team used twice
-// its limit that way. The sum still serves where the cache is complete up to the
-// record, to put right what a change of limits has left out.
-func (n *Node) teamAfter(t *teamUse, shard string, c *claim, next *ledger.Claim) (use, most [2]float64) {
-	of := func(tasks int) [2]float64 {
-		return [2]float64{float64(tasks) * c.spec.CPUs, float64(tasks) * c.spec.GPUs}
-	}
-	was, is, had := of(c.placed()), of(len(next.Open)), t.rec.Use[shard]
-	for k := range use {
-		use[k] = max(0, had[k]-was[k]+is[k])
-		if use[k] < eps {
-			use[k] = 0 // what many small amounts leave by rounding
-		}
-	}
-	if next.Shard == "" {
-		return use, use
-	}
-	sum := n.use[teamShard{c.spec.Team, shard}]
-	if c.sum.kept && c.sum.key.shard == shard {
-		sum = [2]float64{sum[0] - c.sum.use[0], sum[1] - c.sum.use[1]}
-	}
-	sum = [2]float64{sum[0] + is[0], sum[1] + is[1]}
-	if n.epoch >= t.stamp && len(n.orphans) == 0 {
-		return sum, sum
-	}
-	return use, [2]float64{max(use[0], sum[0]), max(use[1], sum[1])}
-}
-
 // placed counts the placements of a claim's committed version.
 func (c *claim) placed() int {
 	if c.rec == nil {
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -141,6 +141,7 @@
 				}
 			}
 			n.tendLead()
+			n.tendLimits(now)
 		}
 		n.mu.Unlock()
 	}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -43,18 +43,19 @@
 
 // claim is a claimed chunk; pend is the version being committed, if any.
 type claim struct {
-	key   string
-	ref   string
-	chunk int
-	rec   *ledger.Claim // nil while the first version is being committed
-	stamp uint64
-	pend  *ledger.Claim
-	spec  *protocol.Submission
-	evict map[int]time.Time // tasks to be stopped, and since when
-	again time.Time         // earliest next commit after a conflict
-	halt  uint64            // gang: the attempt that is being ended
-	look  time.Time         // not to be looked at before
-	ripe  time.Time         // when the first completion not yet booked was seen
+	key    string
+	ref    string
+	chunk  int
+	rec    *ledger.Claim // nil while the first version is being committed
+	stamp  uint64
+	pend   *ledger.Claim
+	spec   *protocol.Submission
+	evict  map[int]time.Time // tasks to be stopped, and since when
+	again  time.Time         // earliest next commit after a conflict
+	lentTo map[slot]string   // tasks stopped for the guarantee of a job of another team
+	halt   uint64            // gang: the attempt that is being ended
+	look   time.Time         // not to be looked at before
+	ripe   time.Time         // when the first completion not yet booked was seen
 
 	// Kept by reindex.
 	on        map[slot]*place
@@ -120,6 +121,15 @@
 			t := n.team(strings.TrimPrefix(key, ledger.TeamKeys))
 			t.rec, t.stamp = *r, stamp
 		}
+	case strings.HasPrefix(key, ledger.LimitKeys):
+		r, _ := rec.(*ledger.Limit)
+		n.quota.StoreLimit(strings.TrimPrefix(key, ledger.LimitKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.AllotKeys):
+		r, _ := rec.(*ledger.Allotment)
+		n.quota.StoreAllotment(strings.TrimPrefix(key, ledger.AllotKeys), r, stamp)
+	case strings.HasPrefix(key, ledger.BookKeys):
+		r, _ := rec.(*ledger.Bookings)
+		n.quota.StoreBookings(strings.TrimPrefix(key, ledger.BookKeys), r, stamp)
 	case strings.HasPrefix(key, ledger.HireKeys):
 		r, _ := rec.(*ledger.Hire)
 		n.storeHire(strings.TrimPrefix(key, ledger.HireKeys), r, stamp)
@@ -172,6 +182,12 @@
 		return new(ledger.Node)
 	case strings.HasPrefix(key, ledger.TeamKeys):
 		return new(ledger.Team)
+	case strings.HasPrefix(key, ledger.LimitKeys):
+		return new(ledger.Limit)
+	case strings.HasPrefix(key, ledger.AllotKeys):
+		return new(ledger.Allotment)
+	case strings.HasPrefix(key, ledger.BookKeys):
+		return new(ledger.Bookings)
 	case strings.HasPrefix(key, ledger.HireKeys):
 		return new(ledger.Hire)
 	case strings.HasPrefix(key, ledger.ImageKeys):
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -26,7 +26,10 @@
 	MachineKeys = "m/" // m/<host>: a rented machine and the shard it is in for life
 	JobKeys     = "j/" // j/<ref>: an accepted job and, in the end, its final state
 	ClaimKeys   = "c/" // c/<ref>/<chunk>: a claimed chunk, its placements and completions
-	TeamKeys    = "t/" // t/<team>: what a limited team has reserved, by shard
+	TeamKeys    = "t/" // t/<team>: what a limited team has reserved, by shard, where its limit is not allotted
+	LimitKeys   = "l/" // l/<team>: a team's limit and how it was first divided
+	AllotKeys   = "a/" // a/<team>/<holder>: what a holder has given away of its part
+	BookKeys    = "k/" // k/<team>: what is booked on its guarantee, and what is taken from it for others
 	HireKeys    = "h/" // h/<name>: a rental that may have been sent
 	ImageKeys   = "i/" // i/<shard>/<part>: the images that a part of its machines hold
 	GatherKeys  = "g/" // g/<ref>: the leader gathers room for a job, attached to its lease
@@ -42,9 +45,12 @@
 	Away  int64  `json:"w,omitempty"` // Unix milliseconds until which it is not handed back: its home gave it away
 }
 
-// Node marks a live controller.
+// Node marks a live controller. Version and Teams tell the others what it
+// understands and which limits it was given, for a restart one by one.
 type Node struct {
-	Boot int64 `json:"b"`
+	Boot    int64  `json:"b"`
+	Version int    `json:"v,omitempty"` // 1: allots limits
+	Teams   uint64 `json:"q,omitempty"` // hash of its teams' limits
 }
 
 // Machine is a rented machine.
@@ -235,6 +241,46 @@
 	Use map[string][2]float64 `json:"u"`
 }
 
+// Limit is a team's limit where it is allotted. A change of it voids every start
+// under way. Without Base nothing starts: what is used is being counted.
+type Limit struct {
+	Gen     uint64                `json:"v"`           // rises with each division; gifts of an earlier one are void
+	Max     [2]float64            `json:"m"`           // CPUs and cards; 0: no limit
+	Base    map[string][2]float64 `json:"b,omitempty"` // by holder; together no more than Max
+	Closing bool                  `json:"c,omitempty"` // it is to be counted in the team's one record again
+	Off     bool                  `json:"x,omitempty"` // it is
+}
+
+// Allotment is what a holder has given to others since the division, by receiver.
+// Only the holder's owner writes it, and amounts only rise, so givers do not get
+// into one another's way: what a holder may use is its base, and what it was given,
+// less what it gave.
+type Allotment struct {
+	Gen   uint64                `json:"v"`
+	Given map[string][2]float64 `json:"g"`
+}
+
+// Bookings are the claims on a team's guarantee, by job, and what is taken from the
+// team for other teams' jobs.
+type Bookings struct {
+	Due   map[string]Booking `json:"d,omitempty"`
+	Taken map[string]Taking  `json:"t,omitempty"`
+}
+
+// Booking is a job's claim on its team's guarantee.
+type Booking struct {
+	Shard string     `json:"h"` // whose owner makes the room
+	Use   [2]float64 `json:"u"`
+	Token uint64     `json:"o"` // the owner's; one of an earlier owner is void
+}
+
+// Taking is what is stopped for a job of another team.
+type Taking struct {
+	By    string   `json:"b"` // the other team
+	Shard string   `json:"h"`
+	Tasks []string `json:"n"`
+}
+
 // Hire is a rental that was recorded before it was sent, and in the end the
 // record of the machines it brought: one for all of them. Machines that nobody
 // expected get such a record too.
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -63,6 +63,10 @@
 	Waits int `json:"waits,omitempty"`
 	// Beat marks the message of every second, which alone tells Waits.
 	Beat bool `json:"beat,omitempty"`
+	// Wants are what the sender's shards could start if their teams' allotments
+	// reached. Wanting marks a message that tells all of them, none included.
+	Wants   []Want `json:"wants,omitempty"`
+	Wanting bool   `json:"wanting,omitempty"`
 	// StateOK tells that the sender heard from the state service just now.
 	StateOK bool `json:"stateOk"`
 }
@@ -82,6 +86,22 @@
 	Barred []string `json:"barred,omitempty"`
 }
 
+// Want is what a shard could start this moment within its team's limit, if its
+// allotment reached. Amounts are CPUs and cards.
+type Want struct {
+	Team     string     `json:"team"`
+	Holder   string     `json:"holder"` // the shard, or "*": across shards
+	Head     [2]float64 `json:"head"`   // what its first job needs to start
+	Unit     [2]float64 `json:"unit"`   // one task of it
+	Total    [2]float64 `json:"total"`
+	Rank     int        `json:"rank"`
+	Born     int64      `json:"born"` // Unix milliseconds
+	Ref      string     `json:"ref"`
+	Whole    bool       `json:"whole,omitempty"`
+	Ahead    bool       `json:"ahead,omitempty"` // its room is not there yet
+	WaitedMs int64      `json:"waitedMs"`
+}
+
 // KeyNews passes a just-committed record on, ahead of the watch.
 type KeyNews struct {
 	Key   string          `json:"key"`
--- a/internal/protocol/peer_easyjson.go
+++ b/internal/protocol/peer_easyjson.go
@@ -149,6 +149,35 @@
 			} else {
 				out.Beat = bool(in.Bool())
 			}
+		case "wants":
+			if in.IsNull() {
+				in.Skip()
+				out.Wants = nil
+			} else {
+				in.Delim('[')
+				if out.Wants == nil {
+					if !in.IsDelim(']') {
+						out.Wants = make([]Want, 0, 0)
+					} else {
+						out.Wants = []Want{}
+					}
+				} else {
+					out.Wants = (out.Wants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v5 Want
+					easyjsonC1b1d248DecodeMadderslipInternalProtocol3(in, &v5)
+					out.Wants = append(out.Wants, v5)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "wanting":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Wanting = bool(in.Bool())
+			}
 		case "stateOk":
 			if in.IsNull() {
 				in.Skip()
@@ -179,11 +208,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v5, v6 := range in.Loads {
-				if v5 > 0 {
+			for v6, v7 := range in.Loads {
+				if v6 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonC1b1d248EncodeMadderslipInternalProtocol1(out, v6)
+				easyjsonC1b1d248EncodeMadderslipInternalProtocol1(out, v7)
 			}
 			out.RawByte(']')
 		}
@@ -193,11 +222,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v7, v8 := range in.Fresh {
-				if v7 > 0 {
+			for v8, v9 := range in.Fresh {
+				if v8 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonC1b1d248EncodeMadderslipInternalProtocol2(out, v8)
+				easyjsonC1b1d248EncodeMadderslipInternalProtocol2(out, v9)
 			}
 			out.RawByte(']')
 		}
@@ -207,11 +236,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v9, v10 := range in.Intents {
-				if v9 > 0 {
+			for v10, v11 := range in.Intents {
+				if v10 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v10))
+				out.String(string(v11))
 			}
 			out.RawByte(']')
 		}
@@ -221,11 +250,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v11, v12 := range in.Planned {
-				if v11 > 0 {
+			for v12, v13 := range in.Planned {
+				if v12 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v12))
+				out.String(string(v13))
 			}
 			out.RawByte(']')
 		}
@@ -240,6 +269,25 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Beat))
 	}
+	if len(in.Wants) != 0 {
+		const prefix string = ",\"wants\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v14, v15 := range in.Wants {
+				if v14 > 0 {
+					out.RawByte(',')
+				}
+				easyjsonC1b1d248EncodeMadderslipInternalProtocol3(out, v15)
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Wanting {
+		const prefix string = ",\"wanting\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Wanting))
+	}
 	{
 		const prefix string = ",\"stateOk\":"
 		out.RawString(prefix)
@@ -271,6 +319,223 @@
 func (v *PeerMessage) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonC1b1d248DecodeMadderslipInternalProtocol(l, v)
 }
+func easyjsonC1b1d248DecodeMadderslipInternalProtocol3(in *jlexer.Lexer, out *Want) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "team":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Team = string(in.String())
+			}
+		case "holder":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Holder = string(in.String())
+			}
+		case "head":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('[')
+				v16 := 0
+				for !in.IsDelim(']') {
+					if v16 < 2 {
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(out.Head)[v16] = float64(in.Float64())
+						}
+						v16++
+					} else {
+						in.SkipRecursive()
+					}
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "unit":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('[')
+				v17 := 0
+				for !in.IsDelim(']') {
+					if v17 < 2 {
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(out.Unit)[v17] = float64(in.Float64())
+						}
+						v17++
+					} else {
+						in.SkipRecursive()
+					}
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "total":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('[')
+				v18 := 0
+				for !in.IsDelim(']') {
+					if v18 < 2 {
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(out.Total)[v18] = float64(in.Float64())
+						}
+						v18++
+					} else {
+						in.SkipRecursive()
+					}
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "rank":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Rank = int(in.Int())
+			}
+		case "born":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Born = int64(in.Int64())
+			}
+		case "ref":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Ref = string(in.String())
+			}
+		case "whole":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Whole = bool(in.Bool())
+			}
+		case "ahead":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Ahead = bool(in.Bool())
+			}
+		case "waitedMs":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.WaitedMs = int64(in.Int64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonC1b1d248EncodeMadderslipInternalProtocol3(out *jwriter.Writer, in Want) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"team\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Team))
+	}
+	{
+		const prefix string = ",\"holder\":"
+		out.RawString(prefix)
+		out.String(string(in.Holder))
+	}
+	{
+		const prefix string = ",\"head\":"
+		out.RawString(prefix)
+		out.RawByte('[')
+		for v19 := range in.Head {
+			if v19 > 0 {
+				out.RawByte(',')
+			}
+			out.Float64(float64((in.Head)[v19]))
+		}
+		out.RawByte(']')
+	}
+	{
+		const prefix string = ",\"unit\":"
+		out.RawString(prefix)
+		out.RawByte('[')
+		for v20 := range in.Unit {
+			if v20 > 0 {
+				out.RawByte(',')
+			}
+			out.Float64(float64((in.Unit)[v20]))
+		}
+		out.RawByte(']')
+	}
+	{
+		const prefix string = ",\"total\":"
+		out.RawString(prefix)
+		out.RawByte('[')
+		for v21 := range in.Total {
+			if v21 > 0 {
+				out.RawByte(',')
+			}
+			out.Float64(float64((in.Total)[v21]))
+		}
+		out.RawByte(']')
+	}
+	{
+		const prefix string = ",\"rank\":"
+		out.RawString(prefix)
+		out.Int(int(in.Rank))
+	}
+	{
+		const prefix string = ",\"born\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Born))
+	}
+	{
+		const prefix string = ",\"ref\":"
+		out.RawString(prefix)
+		out.String(string(in.Ref))
+	}
+	if in.Whole {
+		const prefix string = ",\"whole\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Whole))
+	}
+	if in.Ahead {
+		const prefix string = ",\"ahead\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Ahead))
+	}
+	{
+		const prefix string = ",\"waitedMs\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.WaitedMs))
+	}
+	out.RawByte('}')
+}
 func easyjsonC1b1d248DecodeMadderslipInternalProtocol2(in *jlexer.Lexer, out *KeyNews) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
@@ -402,13 +667,13 @@
 					out.Barred = (out.Barred)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v13 string
+					var v22 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v13 = string(in.String())
+						v22 = string(in.String())
 					}
-					out.Barred = append(out.Barred, v13)
+					out.Barred = append(out.Barred, v22)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -462,11 +727,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v14, v15 := range in.Barred {
-				if v14 > 0 {
+			for v23, v24 := range in.Barred {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v15))
+				out.String(string(v24))
 			}
 			out.RawByte(']')
 		}
--- a/internal/schedule/calm.go
+++ b/internal/schedule/calm.go
@@ -158,10 +158,19 @@
 			return err.Error()
 		}
 		for shard, use := range t.Use {
-			if use != [2]float64{} {
+			// "*" alone stands for a limit that is allotted.
+			if use != [2]float64{} && shard != "*" {
 				return fmt.Sprintf("%v reserved in %s", use, shard)
 			}
 		}
+	case strings.HasPrefix(key, ledger.BookKeys):
+		var b ledger.Bookings
+		if err := json.Unmarshal(value, &b); err != nil {
+			return err.Error()
+		}
+		if len(b.Due)+len(b.Taken) > 0 {
+			return "a booked guarantee of a job that is over"
+		}
 	case strings.HasPrefix(key, ledger.HireKeys):
 		var h ledger.Hire
 		if err := json.Unmarshal(value, &h); err != nil {
--- a/internal/schedule/cluster.go
+++ b/internal/schedule/cluster.go
@@ -6,6 +6,7 @@
 package schedule
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +17,8 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,13 +48,17 @@
 
 // cluster is some controllers in a stand-in world.
 type cluster struct {
-	names  []string
-	began  time.Time
-	ctx    context.Context
-	seed   uint64
-	w      *standin.World
-	policy string // file with the operators' settings, or empty
-	users  sync.WaitGroup
+	names []string
+	began time.Time
+	ctx   context.Context
+	seed  uint64
+	w     *standin.World
+	plain bool // limits are not allotted
+	users sync.WaitGroup
+
+	judge  sync.Mutex // taken under the world's lock, and guards the next two
+	judged map[string]*coordination.Node
+	teams  map[string]protocol.Team
 
 	mu    sync.Mutex
 	nodes map[string]*process
@@ -86,8 +93,9 @@
 func newCluster(ctx context.Context, seed uint64, count int) *cluster {
 	names := controllers(count)
 	s := settings(names, names[0])
-	c := &cluster{names: names, began: time.Now(), ctx: ctx, seed: seed, nodes: make(map[string]*process)}
-	c.w = standin.NewWorld(ctx, seed, s.Workers, s.Teams)
+	c := &cluster{names: names, began: time.Now(), ctx: ctx, seed: seed, teams: maps.Clone(s.Teams), nodes: make(map[string]*process), judged: make(map[string]*coordination.Node)}
+	c.w = standin.NewWorld(ctx, seed, s.Workers, maps.Clone(s.Teams))
+	c.w.OnStop = c.judgeStop
 	c.w.State.Limit(s.StateLimit.RPS, s.StateLimit.WriteRPS)
 	c.w.Lag = s.CloudLimit.ListLag
 	for _, name := range names {
@@ -121,6 +129,77 @@
 	})
 }
 
+// given takes a step about what controllers are given that start from now on; those
+// that run keep theirs: "team NAME cpus=.. most=.. cards=.. mostcards=.." or
+// "allot on|off".
+func (c *cluster) given(f []string) error {
+	if f[0] == "allot" {
+		c.mu.Lock()
+		c.plain = f[1] == "off"
+		c.mu.Unlock()
+		return nil
+	}
+	t := protocol.Team{Name: f[1]}
+	for _, kv := range f[2:] {
+		key, value, _ := strings.Cut(kv, "=")
+		n, err := strconv.ParseFloat(value, 64)
+		part := map[string]*float64{"cpus": &t.CPUs, "most": &t.CPUsMax, "cards": &t.GPUs, "mostcards": &t.GMax}[key]
+		if err != nil || part == nil {
+			return fmt.Errorf("script: a team has cpus, most, cards or mostcards, not %q", kv)
+		}
+		*part = n
+	}
+	c.judge.Lock()
+	was := c.teams[t.Name]
+	c.teams[t.Name] = t
+	c.judge.Unlock()
+	if time.Since(c.began) > 0 {
+		// Until all controllers have been given it the higher one may be used.
+		t.CPUsMax, t.GMax = higher(t.CPUsMax, was.CPUsMax), higher(t.GMax, was.GMax)
+	}
+	c.w.SetTeam(t)
+	return nil
+}
+
+// higher is the higher of two limits; 0 is none.
+func higher(a, b float64) float64 {
+	if a == 0 || b == 0 {
+		return 0
+	}
+	return max(a, b)
+}
+
+// judgeStop tells what is wrong with a task's stop: nothing may be stopped for a team
+// that has its guarantee. What of the team's other jobs runs, and what is booked for
+// the one that it is stopped for, must fit it together.
+func (c *cluster) judgeStop(task, host string, use map[string][2]float64) string {
+	ref, num, _ := protocol.SplitTask(task)
+	claimant := ""
+	c.judge.Lock()
+	for _, name := range slices.Sorted(maps.Keys(c.judged)) {
+		claimant = cmp.Or(claimant, c.judged[name].StoppedFor(ref, num, host))
+	}
+	teams := maps.Clone(c.teams)
+	c.judge.Unlock()
+	if claimant == "" {
+		return ""
+	}
+	for key, raw := range c.records() {
+		team, is := strings.CutPrefix(key, ledger.BookKeys)
+		var b ledger.Bookings
+		if !is || json.Unmarshal(raw, &b) != nil {
+			continue
+		}
+		claim, own := b.Due[claimant], c.w.JobUse(claimant)
+		for k, guarantee := range [2]float64{teams[team].CPUs, teams[team].GPUs} {
+			if guarantee > 0 && claim.Use[k] > 0 && use[team][k]-own[k]+max(claim.Use[k], own[k]) > guarantee+1e-6 {
+				return fmt.Sprintf("%s is stopped for %s of %s, which has %v of %v and books %v", task, claimant, team, use[team][k], guarantee, claim.Use[k])
+			}
+		}
+	}
+	return ""
+}
+
 // start runs a controller, unless it runs already.
 func (c *cluster) start(name string) error {
 	c.mu.Lock()
@@ -129,10 +208,14 @@
 		return nil
 	}
 	s := settings(c.names, name)
-	pol, err := policy.Load(c.policy, s)
+	c.judge.Lock()
+	s.Teams = maps.Clone(c.teams)
+	c.judge.Unlock()
+	pol, err := policy.Load("", s)
 	if err != nil {
 		return err
 	}
+	pol.Allotments = !c.plain
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if os.Getenv("TRACE_LOG") == name {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
@@ -150,6 +233,9 @@
 		Stand: func(ctx context.Context) { c.w.Stand(ctx, name) }})
 	p := &process{node: n, stop: stop, ended: make(chan struct{})}
 	c.nodes[name] = p
+	c.judge.Lock()
+	c.judged[name] = n
+	c.judge.Unlock()
 	c.w.Note("%s starts", name)
 	go led.Run(ctx)
 	go func() {
@@ -169,6 +255,9 @@
 	c.mu.Lock()
 	p := c.nodes[name]
 	delete(c.nodes, name)
+	c.judge.Lock()
+	delete(c.judged, name)
+	c.judge.Unlock()
 	c.mu.Unlock()
 	if p == nil {
 		return
--- a/internal/schedule/generate.go
+++ b/internal/schedule/generate.go
@@ -101,6 +101,9 @@
 		d.add(0, "machines %d b g2", d.number("with cards", 1, 2))
 	}
 	d.add(0, "spare %d", d.number("spare", 0, 8))
+	if d.yes(12, "one record") {
+		d.add(0, "allot off")
+	}
 }
 
 // job submits one, and may have it repeated or aborted. It returns its number.
@@ -120,7 +123,13 @@
 		f = d.maybe(f, 25, "saves=%d", 2, 6)
 		f = d.maybe(f, 20, "due=%d", 10, 90)
 	case "gang":
-		f = append(f, "gang", fmt.Sprintf("tasks=%d cpus=%d run=%d", d.number("tasks", 1, 6), d.number("cpus", 1, 4), d.number("run", 2, 25)))
+		if limited = d.yes(25, "limited gang"); limited {
+			// As much as the whole limit, at times.
+			team := d.pick("team", "team=tight", "team=tight", "team=lent")
+			f = append(f, "gang", fmt.Sprintf("tasks=%d cpus=%d run=%d %s", d.number("tasks", 1, 2), d.number("cpus", 1, 2), d.number("short", 1, 8), team))
+		} else {
+			f = append(f, "gang", fmt.Sprintf("tasks=%d cpus=%d run=%d", d.number("tasks", 1, 6), d.number("cpus", 1, 4), d.number("run", 2, 25)))
+		}
 		f = d.maybe(f, 40, "saves=%d", 2, 6)
 		f = d.maybe(f, 30, "samezone", 0, 0)
 	default:
@@ -203,6 +212,9 @@
 	if d.yes(35, "tangle") {
 		d.tangle(at)
 	}
+	if d.yes(35, "quota") {
+		d.quota(at)
+	}
 	for range d.number("troubles", 1, 5) {
 		d.any(within())
 	}
@@ -212,6 +224,9 @@
 // tasks, with all controllers ended in it, is drawn nowhere: those that start
 // cannot read which tasks are cancelled, and no rule could be kept.
 func (d *draft) outage(at, longest time.Duration) {
+	if longest > 20*time.Second && len(d.noEnds) > 0 && d.noEnds[0][0] < 0 {
+		longest = 14 * time.Second // each controller must be restarted
+	}
 	if longest > 20*time.Second {
 		d.noEnds = append(d.noEnds, [2]time.Duration{at - 3*time.Second, at + longest})
 	}
@@ -417,3 +432,96 @@
 	fmt.Fprintf(&b, "%-14s calm\n", last+time.Second)
 	return b.String()
 }
+
+// quota draws what is hard about teams' limits and guarantees: many decide at once,
+// about little, while those who hold it are in trouble.
+func (d *draft) quota(at time.Duration) {
+	soon := func() time.Duration { return at + d.moment("soon", 0, 5*time.Second) }
+	hurt := func() {
+		for range d.number("hurts", 1, 2) {
+			switch d.pick("hurt", "kill", "freeze", "freeze", "refuse", "lossy", "lossy", "slow", "outage", "alone", "kill all") {
+			case "kill":
+				d.kill(d.node(), soon())
+			case "freeze":
+				d.add(soon(), "freeze %s on for %s", d.node(), d.moment("still", 500*time.Millisecond, 20*time.Second))
+			case "refuse":
+				d.trouble("refuse "+d.node(), soon())
+			case "lossy":
+				d.trouble("lossy", soon())
+			case "slow":
+				d.trouble("slow", soon())
+			case "outage":
+				d.outage(soon(), 14*time.Second)
+			case "alone":
+				d.trouble("alone "+d.node(), soon())
+			case "kill all":
+				d.kill("all", soon())
+			}
+		}
+	}
+	switch d.pick("quota", "share", "share", "whole", "guarantee", "guarantee", "guarantee", "changed", "back and forth") {
+	case "share":
+		// All controllers decide in the same moment on the last tasks of a limit.
+		team := d.pick("team", "tight", "tight", "lent")
+		for _, node := range d.names {
+			d.jobs++
+			d.add(at, "user %s submit wk-%d array tasks=%d run=%d team=%s", node, d.jobs, d.number("tasks", 1, 6), d.number("run", 1, 6), team)
+		}
+		hurt()
+	case "whole":
+		// Two gangs need the whole limit that arrays hold in every shard.
+		for range 3 {
+			d.quiet(at-d.moment("before", 0, 2*time.Second), fmt.Sprintf("array tasks=%d run=%d team=tight", d.number("tasks", 2, 8), d.number("run", 1, 5)))
+		}
+		for range 2 {
+			d.quiet(soon(), fmt.Sprintf("gang tasks=2 cpus=2 run=%d team=tight", d.number("run", 1, 6)))
+		}
+		hurt()
+	case "guarantee":
+		// A team claims its guarantee from one that has filled the machines.
+		for range d.number("lenders", 2, 4) {
+			d.quiet(at-d.moment("before", 3*time.Second, 6*time.Second), fmt.Sprintf("array tasks=%d run=%d", d.number("tasks", 8, 24), d.number("run", 10, 25)))
+		}
+		claim := at + d.moment("claim", 0, time.Second)
+		for range d.number("claimants", 2, 6) {
+			ref := d.quiet(claim, d.pick("claims", "gang tasks=2 cpus=2 run=5 team=lent", "gang tasks=1 cpus=4 run=6 team=lent", "array tasks=6 run=4 team=lent", "array tasks=3 cpus=4 run=4 team=lent"))
+			if d.yes(25, "aborted") {
+				d.add(claim+d.moment("abort", 0, 3*time.Second), "user %s abort %s", d.node(), ref)
+			}
+		}
+		if d.yes(60, "hurt") {
+			hurt()
+		}
+	case "changed":
+		// The limit is lowered and raised again, in a restart one by one.
+		if len(d.noEnds) > 0 {
+			return // an end may be left out there, and a controller would never be told
+		}
+		d.noEnds = append(d.noEnds, [2]time.Duration{-1, -1})
+		for range 2 {
+			d.quiet(at-d.moment("before", 0, 2*time.Second), fmt.Sprintf("array tasks=%d run=%d team=lent", d.number("tasks", 4, 16), d.number("run", 1, 5)))
+		}
+		d.restarted(at, fmt.Sprintf("team lent cpus=8 most=%d", d.number("lowered", 4, 12)))
+		d.add(at+19*time.Second, "hold lent")
+		d.restarted(at+20*time.Second, fmt.Sprintf("team lent cpus=8 most=%d", d.number("raised", 14, 24)))
+	case "back and forth":
+		// Sources that know no allotments, and back.
+		if len(d.noEnds) > 0 {
+			return
+		}
+		d.noEnds = append(d.noEnds, [2]time.Duration{-1, -1})
+		for i := range 4 {
+			d.quiet(at+time.Duration(i)*4*time.Second, fmt.Sprintf("array tasks=%d run=%d team=tight", d.number("tasks", 2, 8), d.number("run", 1, 5)))
+		}
+		d.restarted(at, "allot off")
+		d.restarted(at+18*time.Second, "allot on")
+	}
+}
+
+// restarted has the controllers restarted one after the other, given something else.
+func (d *draft) restarted(at time.Duration, given string) {
+	d.add(at, "%s", given)
+	for i, node := range d.names {
+		d.add(at+time.Second+time.Duration(i)*d.moment("next", 500*time.Millisecond, 2*time.Second), "kill %s for %s", node, d.moment("away", 300*time.Millisecond, 1500*time.Millisecond))
+	}
+}
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -55,8 +55,28 @@
 `, ``},
 	{"fenced without a record if need be", "cancel.go", `return c.Bare(limit, n.stateDown(now)) && m.rec.State == "" && !n.refusedAlone(now)`, `return false`},
 	{"the bound counts from the record", "view.go", `r.Ended != 0 && at.Before(j.ended)`, `false && at.Before(j.ended)`},
-	{"team limits are conditions", "settle.go", `return []ledger.Cond{{Key: key, Stamp: t.stamp}}, []ledger.Op`, `return nil, []ledger.Op`},
-	{"team use by the record", "settle.go", `	return use, [2]float64{max(use[0], sum[0]), max(use[1], sum[1])}`, `	return sum, sum`},
+	{"team limits are conditions", "limits.go", `return append(conds, ledger.Cond{Key: key, Stamp: t.stamp}), []ledger.Op`, `return conds, []ledger.Op`},
+	{"a start needs its limit as it was", "limits.go", `	conds = append(conds, n.quota.Conds(team)...)`, ``},
+	{"a start needs the bookings as they were", "limits.go", `has && grows {`, `has && grows && false {`},
+	{"a shard starts within its allotment", "limits.go", `!grows || (n.sized(holder) && more <= n.quota.Allowance(team, holder, unitOf(c.spec)))`, `true`},
+	{"claims of unknown size are not nothing", "limits.go", `			if c.rec == nil || c.rec.Shard == holder || (c.rec.Shard == "" && holder == quota.Wide) {`, `			if false {`},
+	{"the larger of two versions counts", "limits.go", `return max(c.placed(), len(c.pend.Open))`, `return c.placed()`},
+	{"what became of a start is found out", "node.go", `for err != nil && insist && life`, `for err != nil && false && insist && life`},
+	{"only who decides for a holder gives", "../quota/wants.go", `Conds: []ledger.Cond{own, {Key`, `Conds: []ledger.Cond{{Key`},
+	{"gifts under way are given", "../quota/keeper.go", `left := t.grants()[holder].Less(t.lent[holder]).Less(`, `left := t.grants()[holder].Less(`},
+	{"a limit is divided once all starts are known", "../quota/divide.go", `	case t.limit.Base == nil:
+		if s.Epoch < t.stamp || !s.Complete {`, `	case t.limit.Base == nil:
+		if false {`},
+	{"older sources find the limit used up", "../quota/divide.go", `Use: map[string][2]float64{barrier: t.set}`, `Use: map[string][2]float64{}`},
+	{"the lower limit counts", "../quota/keeper.go", `if t.set[p] > 0 && (t.limit.Max[p] == 0 || t.set[p] < t.limit.Max[p]-eps) {
+			return Amount{}`, `if false {
+			return Amount{}`},
+	{"a booking is carried out once all before it is known", "guarantee.go", `b.at == 0 || n.epoch < b.at {`, `b.at == 0 {`},
+	{"a booking that does not hold any more goes", "guarantee.go", `if k.first < b.tasks ||`, `if`},
+	{"bookings exclude one another", "../quota/booking.go", `		conds = append(conds, ledger.Cond{Key: key, Stamp: k.team(name).books})
+`, ``},
+	{"a lender keeps its guarantee", "../quota/due.go", `return t.taken[team]+beside[k]+task[k] <= t.Of(team).Lends(t.Claimed)+eps`, `return true`},
+	{"team use by the record", "limits.go", `	return use, [2]float64{max(use[0], sum[0]), max(use[1], sum[1])}`, `	return sum, sum`},
 	{"404 is confirmed", "users.go", `	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
 		switch {
 		case err == nil && !known:`, `	func(do func(error)) { do(nil) }(func(err error) {
--- a/internal/schedule/one_test.go
+++ b/internal/schedule/one_test.go
@@ -24,3 +24,11 @@
 		t.Error(out.Kind())
 	}
 }
+
+// TestShow prints the schedule of the seed -from.
+func TestShow(t *testing.T) {
+	if *script != "-" {
+		t.Skip("no -script -")
+	}
+	fmt.Print(Script().Example(*from))
+}
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -54,7 +54,10 @@
 // Play runs a script: lines of a time, an actor and what it does or what must
 // be so by then; what follows a # is a comment. It is called in a test bubble,
 // whose clock is the script's.
-func Play(script string, seed uint64) *Outcome {
+func Play(script string, seed uint64) *Outcome { return playWatched(script, seed, nil) }
+
+// playWatched plays a script while something looks on.
+func playWatched(script string, seed uint64, watch func(*cluster)) *Outcome {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newCluster(ctx, seed, controllersOf(script))
 	defer func() {
@@ -67,7 +70,19 @@
 	}()
 	out := &Outcome{}
 	began := c.began
+	for _, line := range cut(script) {
+		// What controllers are given is so from the first moment on, before they start.
+		if f := strings.Fields(line); len(f) > 2 && f[0] == "0s" && (f[1] == "team" || f[1] == "allot") {
+			if out.Err = c.given(f[1:]); out.Err != nil {
+				out.Line = line
+				return out
+			}
+		}
+	}
 	go c.watchHeld()
+	if watch != nil {
+		go watch(c)
+	}
 	for _, name := range c.names {
 		if out.Err = c.start(name); out.Err != nil {
 			return out
@@ -187,6 +202,15 @@
 		}
 		c.w.AddKind(n, typ, arg(2), arg(4) == "cheap")
 	case "controllers": // controllers COUNT: see controllersOf
+	case "hold": // hold TEAM: from now on its limit is what controllers were given last
+		c.judge.Lock()
+		t := c.teams[arg(1)]
+		c.judge.Unlock()
+		c.w.SetTeam(t)
+	case "team", "allot": // for controllers that start from now on
+		if time.Since(c.began) > 0 {
+			return c.given(f)
+		}
 	case "zone": // zone ZONE cut|heal
 		c.w.Trouble("zone "+arg(1), arg(2) == "cut")
 	case "freeze": // freeze NODE on|off, or all
@@ -323,7 +347,7 @@
 
 // expect checks what a line says must be so: REF done|cancelled|unknown from
 // every live node that answers (at least one must), REF running N, busy N (at least
-// so many tasks run), or returned N machines so far.
+// so many tasks run), team NAME LEAST MOST (CPUs that it uses), or returned N machines so far.
 func (c *cluster) expect(f []string) error {
 	if len(f) < 2 {
 		return fmt.Errorf("script: expect what?")
@@ -335,6 +359,16 @@
 		}
 		return nil
 	}
+	if f[0] == "team" && len(f) == 4 { // team NAME from..upto CPUs
+		var low, high float64
+		if _, err := fmt.Sscanf(f[2]+" "+f[3], "%g %g", &low, &high); err != nil {
+			return fmt.Errorf("script: expect team NAME LEAST MOST: %w", err)
+		}
+		if got := c.w.TeamUse()[f[1]][0]; got < low || got > high {
+			return fmt.Errorf("team %s uses %v CPUs", f[1], got)
+		}
+		return nil
+	}
 	if f[0] == "busy" {
 		n, _ := strconv.Atoi(f[1])
 		if got := c.w.Running(""); got < n {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -43,11 +43,17 @@
 	}
 }
 
-// Stand waits for as long as a controller stands still.
+// Stand waits for as long as a controller stands still. What waits goes on one after
+// the other, by what was drawn when each began to wait: all at the same instant they
+// would be in an order that nobody could repeat.
 func (w *World) Stand(ctx context.Context, node string) {
+	late := time.Duration(0)
 	for {
 		w.mu.Lock()
 		held := w.frozen[node]
+		if held != nil && late == 0 {
+			late = w.between(time.Microsecond, 3*time.Millisecond, "stand", node)
+		}
 		w.mu.Unlock()
 		if held == nil {
 			return
@@ -57,6 +63,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if !wait(ctx, late) {
+			return
+		}
 	}
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -50,6 +50,17 @@
 	down    bool
 	reqs    *rate.Limiter
 	writes  *rate.Limiter
+	done    Counts
+}
+
+// Counts is what transactions with changes have come to.
+type Counts struct{ Changes, Refused int }
+
+// Counts tells how many changes were carried out, and transactions refused.
+func (s *State) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done
 }
 
 func newState() *State {
@@ -249,10 +260,14 @@
 		}
 	}
 	if len(failed) > 0 {
+		if len(in.Writes) > 0 {
+			s.done.Refused++
+		}
 		return reply(409, map[string]any{"failed": failed, "epoch": s.epoch})
 	}
 	if len(in.Writes) > 0 {
 		s.epoch++
+		s.done.Changes += len(in.Writes)
 	}
 	for _, w := range in.Writes {
 		if w.Set != "" {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -169,11 +169,40 @@
 	return out
 }
 
+// SetTeam has the rules go by another guarantee or limit of a team from now on.
+func (w *World) SetTeam(t protocol.Team) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.above[t.Name] = w.Teams[t.Name]
+	w.Teams[t.Name] = t
+	w.note("team %s: %+v", t.Name, t)
+}
+
+// permitted is what a team may use now: its limit or, since that was lowered below
+// what ran, what still runs of it. Nothing need be stopped, and nothing may start
+// that passes it.
+func (w *World) permitted(team string, use [2]float64) protocol.Team {
+	limit := w.Teams[team]
+	was, lowered := w.above[team]
+	if !lowered {
+		return limit
+	}
+	most := func(limit, was, use float64) float64 {
+		if limit == 0 || was == 0 {
+			return limit
+		}
+		return max(limit, min(was, use))
+	}
+	now := protocol.Team{CPUsMax: most(limit.CPUsMax, was.CPUsMax, use[0]), GMax: most(limit.GMax, was.GMax, use[1])}
+	w.above[team] = now
+	return now
+}
+
 // check looks for cancelled tasks that stay, and for teams beyond their limit.
 func (w *World) check() {
 	for wait(w.ctx, 500*time.Millisecond+73*time.Nanosecond) {
 		w.mu.Lock()
-		use := make(map[string][2]float64)
+		use := w.teamUse()
 		for _, host := range slices.Sorted(maps.Keys(w.machines)) {
 			m := w.machines[host]
 			for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
@@ -182,15 +211,13 @@
 				if m.gone || j == nil || !m.tasks[name].on() {
 					continue
 				}
-				u := use[j.Spec.Team]
-				use[j.Spec.Team] = [2]float64{u[0] + j.Spec.CPUs, u[1] + j.Spec.GPUs}
 				if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
 					w.breakRule("ran_cancelled", "%s on %s", name, m.host)
 				}
 			}
 		}
 		for _, team := range slices.Sorted(maps.Keys(use)) {
-			limit := w.Teams[team]
+			limit := w.permitted(team, use[team])
 			if u := use[team]; (limit.CPUsMax > 0 && u[0] > limit.CPUsMax+1e-6) || (limit.GMax > 0 && u[1] > limit.GMax+1e-6) {
 				w.breakRule("quota", "%s uses %v of %v CPUs and %v cards", team, u, limit.CPUsMax, limit.GMax)
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -421,6 +421,11 @@
 	ref, _, _ := protocol.SplitTask(name)
 	j := m.w.jobs[ref]
 	saves := t.phase == protocol.TaskRunning && j != nil && j.Spec.SnapshotEveryS > 0 && grace != nil && *grace >= j.Spec.SnapshotS
+	if m.w.OnStop != nil && t.phase == protocol.TaskRunning {
+		if why := m.w.OnStop(name, m.host, m.w.teamUse()); why != "" {
+			m.w.breakRule("guarantee", "%s", why)
+		}
+	}
 	if !saves {
 		m.exit(name, t, "halted")
 		return
@@ -716,6 +721,41 @@
 	return slices.DeleteFunc(slices.Sorted(maps.Keys(w.trouble)), func(name string) bool { return !w.trouble[name] })
 }
 
+// TeamUse is the CPUs and cards that each team's tasks take on machines.
+func (w *World) TeamUse() map[string][2]float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.teamUse()
+}
+
+// JobUse is what a job's tasks take on machines. It is for OnStop, which holds the
+// world's lock.
+func (w *World) JobUse(ref string) (use [2]float64) {
+	for _, m := range w.machines {
+		for name, t := range m.tasks {
+			r, _, _ := protocol.SplitTask(name)
+			if j := w.jobs[ref]; r == ref && j != nil && !m.gone && t.on() {
+				use = [2]float64{use[0] + j.Spec.CPUs, use[1] + j.Spec.GPUs}
+			}
+		}
+	}
+	return use
+}
+
+func (w *World) teamUse() map[string][2]float64 {
+	use := make(map[string][2]float64)
+	for _, m := range w.machines {
+		for name, t := range m.tasks {
+			ref, _, _ := protocol.SplitTask(name)
+			if j := w.jobs[ref]; j != nil && !m.gone && t.on() {
+				u := use[j.Spec.Team]
+				use[j.Spec.Team] = [2]float64{u[0] + j.Spec.CPUs, u[1] + j.Spec.GPUs}
+			}
+		}
+	}
+	return use
+}
+
 // Running counts the tasks of a job that are on machines.
 func (w *World) Running(ref string) int {
 	w.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -27,7 +27,8 @@
 	State   *State
 	Workers protocol.WorkerSettings
 	Teams   map[string]protocol.Team
-	Lag     time.Duration // of the cloud's list
+	above   map[string]protocol.Team // what teams may use still, whose limit was changed
+	Lag     time.Duration            // of the cloud's list
 
 	mu       sync.Mutex
 	ctx      context.Context
@@ -47,6 +48,9 @@
 	began    time.Time
 	Types    []protocol.MachineType
 	spare    int // machines that the cloud has left to rent
+	// OnStop, if set, is told of every running task that a command stops, with what
+	// the teams use, and says what rule that breaks. The world's lock is held.
+	OnStop func(task, host string, use map[string][2]float64) (rule string)
 	faults
 }
 
@@ -55,7 +59,7 @@
 	world := &World{State: newState(), Workers: w, Teams: teams, ctx: ctx, seed: seed, rolls: make(map[uint64]uint64),
 		nodes: make(map[string]NodeHandler), trouble: make(map[string]bool),
 		machines: make(map[string]*Machine), hires: make(map[string][]string), jobs: make(map[string]*Job), aborted: make(map[string]bool),
-		held: make(map[string][]func()), began: time.Now(), faults: newFaults(),
+		held: make(map[string][]func()), began: time.Now(), faults: newFaults(), above: make(map[string]protocol.Team),
 		Types: []protocol.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 50, PullGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}}
 	go world.State.run(ctx)
 	go world.check()
