Limits and guarantees read once more: one place for a victim's name, less state

Naming a victim was undone in two places, a field held what a local variable can, a decision took a holder it never looked at. Excluded: any change of what is decided; every bound and assertion stands. Change: victimAt serves both; consent loses its field, YieldsTo its parameter; the guard's pattern follows the name.

--- a/internal/coordination/guarantee.go
+++ b/internal/coordination/guarantee.go
@@ -32,10 +32,7 @@
 }
 
 func (w standings) Open(task string) quota.Amount {
-	key, rest, _ := strings.Cut(task, "#")
-	num, host, _ := strings.Cut(rest, "@")
-	c := w.n.claims[key]
-	if id, err := strconv.Atoi(num); err == nil && c != nil && c.spec != nil && c.on[slot{id, host}] != nil {
+	if c, p := w.n.victimAt(task); p != nil && c.spec != nil {
 		return unitOf(c.spec)
 	}
 	return quota.Amount{}
@@ -59,9 +56,21 @@
 // and a team got 48 CPUs of 40.
 func (u *unit) id() string { return u.j.key(u.chunk) }
 
-// victimName names a placement that is to be stopped, as bookings record it.
+// name names a placement that is to be stopped, as bookings record it.
 func (v *victim) name() string { return fmt.Sprintf("%s#%d@%s", v.c.key, v.task, v.host) }
 
+// victimAt finds what name names; the place is nil once it is gone.
+func (n *Node) victimAt(name string) (*claim, *place) {
+	key, rest, _ := strings.Cut(name, "#")
+	num, host, _ := strings.Cut(rest, "@")
+	c := n.claims[key]
+	id, err := strconv.Atoi(num)
+	if err != nil || c == nil {
+		return nil, nil
+	}
+	return c, c.on[slot{id, host}]
+}
+
 // dueTasks counts the tasks of a unit that its team may claim on its guarantee now.
 // A gang claims all of them or none.
 func (n *Node) dueTasks(u *unit) int {
@@ -116,7 +125,6 @@
 type consent struct {
 	spec  *protocol.Submission
 	left  int // tasks that the guarantee covers
-	first int // and covered at first
 	taker *quota.Taker
 	seen  map[string]quota.Standing
 	n     *Node
@@ -241,9 +249,8 @@
 		byHost[r.host] = r
 	}
 	k := n.consentFor(u)
-	k.first = k.left
+	due := k.left
 	// What is on record for this very job is leaving in its own name.
-	k.seen = make(map[string]quota.Standing)
 	k.taker.Of = func(team string) quota.Standing { return n.quota.StandingBut(team, u.id(), standings{n}) }
 	var plan []eviction
 	for _, br := range b.plan {
@@ -263,7 +270,7 @@
 			plan = append(plan, e)
 		}
 	}
-	if k.first < b.tasks || (u.together() && len(plan) < len(b.plan)) {
+	if due < b.tasks || (u.together() && len(plan) < len(b.plan)) {
 		// It goes as a whole and is made anew: what is on record is what is taken.
 		n.log.Debug("a booking does not hold any more", "claim", u.id(), "team", b.team)
 		return false
@@ -328,22 +335,18 @@
 // withdraw takes a stop back that was not sent yet, and tells whether nothing is being
 // stopped there any more.
 func (n *Node) withdraw(task string) bool {
-	key, rest, _ := strings.Cut(task, "#")
-	num, host, _ := strings.Cut(rest, "@")
-	c, m := n.claims[key], n.machines[host]
-	id, err := strconv.Atoi(num)
-	if err != nil || c == nil || m == nil {
+	c, p := n.victimAt(task)
+	if p == nil || p.at.m == nil {
 		return true
 	}
-	since, going := c.evict[id]
-	p := c.on[slot{id, host}]
-	if !going || p == nil {
+	since, going := c.evict[p.task]
+	if !going {
 		return true
 	}
-	if at := m.stopped[p.name]; !at.Before(since) {
+	if at := p.at.m.stopped[p.name]; !at.Before(since) {
 		return false
 	}
-	delete(c.evict, id)
+	delete(c.evict, p.task)
 	p.at.touch()
 	n.mark(c)
 	return true
--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -201,7 +201,7 @@
 		need = waiting
 	}
 	may := n.allowanceIn(s.name, u.spec) + n.bookable(u.c)
-	yields := n.quota.YieldsTo(team, s.name, u.spec.Prio(), u.j.rec.Born, u.j.ref, now)
+	yields := n.quota.YieldsTo(team, u.spec.Prio(), u.j.rec.Born, u.j.ref, now)
 	if may < waiting || yields {
 		n.wish(s, u, rooms, w, need, may)
 	}
--- a/internal/quota/wants.go
+++ b/internal/quota/wants.go
@@ -104,7 +104,7 @@
 
 // YieldsTo tells that a holder's own work must wait: older work at another holder
 // starves for what this one has left, and a gift to it is due.
-func (k *Keeper) YieldsTo(name, holder string, rank int, born int64, ref string, now time.Time) bool {
+func (k *Keeper) YieldsTo(name string, rank int, born int64, ref string, now time.Time) bool {
 	t := k.teams[name]
 	if t == nil || !t.allotted() {
 		return false
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -72,7 +72,7 @@
 			return Amount{}`, `if false && t.set[p] > 0 {
 			return Amount{}`},
 	{"a booking is carried out once all before it is known", "guarantee.go", `b.at == 0 || n.epoch < b.at {`, `b.at == 0 {`},
-	{"a booking that does not hold any more goes", "guarantee.go", `if k.first < b.tasks ||`, `if`},
+	{"a booking that does not hold any more goes", "guarantee.go", `if due < b.tasks ||`, `if (due < 0) ||`},
 	{"bookings exclude one another", "../quota/booking.go", `		conds = append(conds, ledger.Cond{Key: key, Stamp: k.team(name).books})
 `, ``},
 	{"a lender keeps its guarantee", "../quota/due.go", `return t.taken[team]+beside[k]+task[k] <= t.Of(team).Lends(t.Claimed)+eps`, `return true`},
