No answer from a cache that could not be read anew; submissions lack no field

Cause: a question whose comparison failed was answered from the cache when the read after it failed too; brought by the watch alone it may be older than what another node has told (close looks with a slow state service). Excluded: own conflicts after a lost answer, which are read again before they are told. Change: refresh tells whether it has read, and a user's request that was not is a 503; an acceptance is told as the cache has it by then; all fields but the three that may be null are required. The stand-in world learns close looks, cancellations at the end, odd requests, unanswered writes, reports for the next leader, mute machines, calloff.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -416,7 +416,15 @@
 		if keys := n.doubtful(res, t); len(keys) > 0 {
 			// One without a deadline reserves something: its caller may not go on before it
 			// is known what became of it.
-			go n.refresh(keys, res.Epoch, t.Deadline.IsZero(), func() { done(res.Err) })
+			go n.refresh(keys, res.Epoch, t.Deadline.IsZero(), func(read bool) {
+				if !read && prio == ledger.PrioUser {
+					// The cache may be newer than the condition and still older than what
+					// another node has told users: nobody here knows.
+					done(ledger.ErrUnknown)
+					return
+				}
+				done(res.Err)
+			})
 			return
 		}
 		if res.Err == nil {
@@ -450,16 +458,17 @@
 	return keys
 }
 
-// refresh reads keys into the cache and then calls done with the lock held. With
-// insist set it goes on until each is read, or the watch has come to the revision
+// refresh reads keys into the cache and then calls done with the lock held, and tells
+// it whether all of them were read. With insist set it goes on until each is read, or the watch has come to the revision
 // at which the transaction failed: a limited team's start whose fate was forgotten
 // was missing in what the team used.
-func (n *Node) refresh(keys []string, epoch uint64, insist bool, done func()) {
+func (n *Node) refresh(keys []string, epoch uint64, insist bool, done func(read bool)) {
 	n.mu.Lock()
 	life := n.ctx
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(life, 2*time.Second)
 	defer cancel()
+	read := true
 	for _, key := range keys {
 		it, err := n.led.Get(ctx, key)
 		for err != nil && insist && life.Err() == nil {
@@ -472,6 +481,7 @@
 			it, err = n.led.Get(life, key)
 		}
 		if err != nil {
+			read = false
 			continue
 		}
 		n.mu.Lock()
@@ -480,7 +490,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	done()
+	done(read)
 	n.poke()
 }
 
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -99,7 +99,7 @@
 // another node may have told this user something newer. absent is the answer
 // for a job that was never accepted.
 func (n *Node) confirm(ref string, within time.Duration, absent func(), reply func(transport.Response)) {
-	a, stamp, final, known := n.answerOf(ref)
+	a, stamp, final, _ := n.answerOf(ref)
 	if final {
 		reply(jobResponse(200, a))
 		return
@@ -120,12 +120,13 @@
 	}
 	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
 		switch {
-		case err == nil && !known:
-			absent()
 		case err == nil:
-			// Counts may have moved on meanwhile; the phase is at least as new.
-			now, _, _, _ := n.answerOf(ref)
-			reply(jobResponse(200, now))
+			// The cache may have moved on meanwhile, and is at least as new.
+			if now, _, _, found := n.answerOf(ref); found {
+				reply(jobResponse(200, now))
+			} else {
+				absent()
+			}
 		case errors.Is(err, ledger.ErrConflict):
 			// The cache has been refreshed from the state service just now.
 			now, newer, _, found := n.answerOf(ref)
@@ -241,7 +242,7 @@
 		switch {
 		case err == nil:
 			n.log.Debug("job accepted", "job", spec.Ref, "class", spec.Class, "tasks", spec.Tasks, "image", spec.Image, "at", at, "claimed", c != nil)
-			reply(jobResponse(201, protocol.JobAnswer{Ref: spec.Ref, Phase: protocol.Pending}))
+			reply(n.accepted(spec.Ref))
 			n.announce(key)
 		case errors.Is(err, ledger.ErrConflict):
 			if a, _, final, known := n.answerOf(spec.Ref); known {
@@ -269,11 +270,22 @@
 			reply(n.later(ledger.PrioUser, time.Now()))
 			return
 		}
-		reply(jobResponse(201, protocol.JobAnswer{Ref: rec.Spec.Ref, Phase: protocol.Pending}))
+		reply(n.accepted(rec.Spec.Ref))
 		n.announce(key)
 	})
 }
 
+// accepted is the answer to a submission that has just been recorded. The record's own
+// answer may come after the news that the job was cancelled through another node, which
+// knew it from a repetition: then that is told.
+func (n *Node) accepted(ref string) transport.Response {
+	a, _, final, _ := n.answerOf(ref)
+	if !final {
+		a = protocol.JobAnswer{Ref: ref, Phase: protocol.Pending}
+	}
+	return jobResponse(201, a)
+}
+
 // handleAbort commits a cancellation before it is told.
 func (n *Node) handleAbort(ref string, reply func(transport.Response)) {
 	if !protocol.ValidRef(ref) {
--- /dev/null
+++ b/internal/coordination/users_test.go
@@ -0,0 +1,93 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+	"madderslip/internal/transport"
+)
+
+// asked is a node whose state service takes transactions and answers reads as told.
+type asked struct {
+	idleLedger
+	txn *ledger.Txn
+	now ledger.Item
+	err error
+}
+
+func (a *asked) Submit(t *ledger.Txn)  { a.txn = t }
+func (a *asked) Asked() (int, float64) { return 0, 100 }
+func (a *asked) Get(context.Context, string) (ledger.Item, error) {
+	return a.now, a.err
+}
+
+// A user was told elsewhere that the job is cancelled, and asks here at once. This node
+// did not know the job as the question came; by the time its comparison has failed the
+// watch has brought the acceptance, not yet the cancellation. What it then answers is what
+// it has read since the question, or nothing: "pending" would be older than "cancelled".
+func TestAnswersAreNoOlderThanTheQuestion(t *testing.T) {
+	key := ledger.JobKeys + "wk-1"
+	spec := &protocol.Submission{Ref: "wk-1", Team: "open", Shape: protocol.Service, Tasks: 1}
+	raw, err := protocol.Encode(&ledger.Job{Spec: spec, State: protocol.Cancelled, Tasks: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		read   ledger.Item
+		err    error
+		status int
+		phase  string
+	}{
+		{"read", ledger.Item{Key: key, Value: raw, Stamp: 8}, nil, 200, protocol.Cancelled},
+		{"not read", ledger.Item{}, errors.New("no answer"), 503, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				led := &asked{now: c.read, err: c.err}
+				n := New(Options{Settings: protocol.Settings{Node: "n0"}, Ledger: led, Log: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(1, 1))})
+				n.loaded = true
+				var got transport.Response
+				n.handleQuery("wk-1", func(r transport.Response) { got = r })
+				n.mu.Lock()
+				n.store(key, &ledger.Job{Spec: spec, Size: 1}, 7)
+				n.mu.Unlock()
+				led.txn.Done(ledger.Result{Err: ledger.ErrConflict, Failed: []string{key}, Epoch: 8})
+				time.Sleep(5 * time.Second)
+				var a protocol.JobAnswer
+				if got.Status == 200 && json.Unmarshal(got.Body, &a) != nil {
+					t.Fatal("unreadable", got.Body)
+				}
+				if got.Status != c.status || a.Phase != c.phase {
+					t.Errorf("answered %d %s", got.Status, got.Body)
+				}
+			})
+		})
+	}
+}
+
+// The answer of a submission's own record may come after the news that the job, known
+// elsewhere from a repetition, was cancelled there. Its user is told the newest.
+func TestAcceptanceIsToldAsItStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{Settings: protocol.Settings{Node: "n0"}, Ledger: &asked{}, Log: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(1, 1))})
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.storeJob("wk-1", &ledger.Job{Spec: &protocol.Submission{Ref: "wk-1", Tasks: 1}, Size: 1}, 5)
+		var a protocol.JobAnswer
+		for _, want := range []string{protocol.Pending, protocol.Cancelled} {
+			if r := n.accepted("wk-1"); r.Status != 201 || json.Unmarshal(r.Body, &a) != nil || a.Phase != want {
+				t.Errorf("%d %s, wanted %s", r.Status, r.Body, want)
+			}
+			n.storeJob("wk-1", &ledger.Job{State: protocol.Cancelled, Tasks: 1}, 6)
+		}
+	})
+}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -136,7 +136,9 @@
 	if err := json.Unmarshal(body, &present); err != nil || present == nil {
 		return nil, malformed("not a JSON object")
 	}
-	for _, key := range []string{"ref", "jobclass", "owner", "shape", "rank", "shards", "cpus", "cards", "memGb", "bundle", "sizeGb", "expectS"} {
+	// All but those that may be null, and may so be left out.
+	for _, key := range []string{"ref", "jobclass", "owner", "shape", "rank", "shards", "cpus", "cards", "memGb", "bundle", "sizeGb",
+		"samePlace", "spread", "loaner", "expectS", "snapshotEveryS", "snapshotS"} {
 		if raw, ok := present[key]; !ok || string(raw) == "null" {
 			return nil, malformed("%s is missing", key)
 		}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -1,8 +1,10 @@
 package protocol
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
@@ -46,6 +48,32 @@
 	}
 }
 
+// Only what may be null may be left out, and the other way round: a job that lacks
+// samePlace was accepted, and its tasks ran where its user did not want them.
+func TestFieldsThatMayNotBeLeftOut(t *testing.T) {
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(goodJob), &all); err != nil {
+		t.Fatal(err)
+	}
+	delete(all, "news") // unknown here
+	for key := range all {
+		may := key == "flavours" || key == "hall" || key == "dueS"
+		for _, value := range []json.RawMessage{nil, json.RawMessage("null")} {
+			part := maps.Clone(all)
+			if delete(part, key); value != nil {
+				part[key] = value
+			}
+			body, err := json.Marshal(part)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := ParseSubmission(body); (err == nil) != may || (err != nil && !errors.Is(err, ErrMalformed)) {
+				t.Errorf("%s as %q: %v", key, value, err)
+			}
+		}
+	}
+}
+
 func TestRefOfReadsAnyRetry(t *testing.T) {
 	if ref, err := RefOf([]byte(`{"ref":"wk-1","shards":"many"}`)); err != nil || ref != "wk-1" {
 		t.Fatal(ref, err)
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -145,7 +145,7 @@
 }
 
 // after names what ends a thing that a line has begin.
-var after = map[string]string{"kill": "start", "on": "off", "hang": "resume", "cut": "heal", "sick": "well", "slow": "well", "deaf": "hears"}
+var after = map[string]string{"kill": "start", "on": "off", "hang": "resume", "cut": "heal", "sick": "well", "slow": "well", "deaf": "hears", "mute": "speaks"}
 
 // step carries out one line. One that ends in "for 5s" also has what it begins
 // end by itself, so that a shrunk script keeps the two together.
@@ -266,7 +266,9 @@
 			return fmt.Errorf("script: trouble NAME [NODE] on|off, not %q %q", name, how)
 		}
 		c.w.Trouble(strings.Join(f[1:len(f)-1], " "), f[len(f)-1] == "on")
-	case "vm": // vm HOST hang|resume|cut|heal|sick|slow|well|deaf|hears|notice|take|die|reboot
+	case "calloff": // calloff COUNT [hang TIME]: of jobs that run; up to eight of their machines hang so long
+		return c.callOff(f[1:])
+	case "vm": // vm HOST hang|resume|cut|heal|sick|slow|well|deaf|hears|mute|speaks|notice|take|die|reboot
 		if !standin.KnowsCondition(arg(2)) {
 			return fmt.Errorf("script: a machine does not %q", arg(2))
 		}
@@ -297,6 +299,33 @@
 	return nil
 }
 
+// callOff has jobs that run cancelled at once, and machines of theirs hang.
+func (c *cluster) callOff(f []string) error {
+	count, last, err := 0, time.Duration(0), error(nil)
+	switch {
+	case len(f) == 3 && f[1] == "hang":
+		if last, err = time.ParseDuration(f[2]); err != nil {
+			return fmt.Errorf("script: calloff COUNT [hang TIME]: %w", err)
+		}
+		fallthrough
+	case len(f) == 1:
+		count, err = strconv.Atoi(f[0])
+	}
+	if err != nil || count < 1 {
+		return fmt.Errorf("script: calloff COUNT [hang TIME], not %q", strings.Join(f, " "))
+	}
+	_, hosts := c.w.CallOff(count)
+	for _, host := range hosts {
+		if last == 0 {
+			break
+		}
+		if err := c.step([]string{"vm", strings.TrimPrefix(host, "vm-"), "hang", "for", last.String()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *cluster) user(node, what string, f []string) error {
 	switch what {
 	case "submit":
@@ -395,6 +424,16 @@
 		}
 		return nil
 	}
+	if f[0] == "vain" { // vain MOST: starts after a confirmed cancellation
+		most, err := strconv.Atoi(f[1])
+		if err != nil {
+			return fmt.Errorf("script: expect vain MOST: %w", err)
+		}
+		if got := c.w.Vain(); got > most {
+			return fmt.Errorf("%d tasks started after their cancellation was confirmed", got)
+		}
+		return nil
+	}
 	if f[0] == "served" { // served PERCENT: at least so much of every class and team
 		least, _ := strconv.Atoi(f[1])
 		return c.everyServed(float64(least) / 100)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -18,6 +18,9 @@
 	"golang.org/x/time/rate"
 )
 
+// shardKeys is what the keys of shards' owners begin with.
+const shardKeys = "madderslip/s/"
+
 type kv struct {
 	value json.RawMessage
 	stamp uint64
@@ -51,6 +54,7 @@
 	reqs    *rate.Limiter
 	writes  *rate.Limiter
 	done    Counts
+	onShard func() // told, on its own, of a shard's new token
 }
 
 // Counts is what transactions with changes have come to.
@@ -273,6 +277,9 @@
 		if w.Set != "" {
 			s.keys[w.Set] = kv{w.Value, s.epoch, w.Permit}
 			s.record(change{Set: w.Set, Value: w.Value, Stamp: s.epoch})
+			if s.onShard != nil && strings.HasPrefix(w.Set, shardKeys) {
+				go s.onShard()
+			}
 		} else if _, ok := s.keys[w.Drop]; ok {
 			delete(s.keys, w.Drop)
 			s.record(change{Drop: w.Drop, Stamp: s.epoch})
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -36,7 +36,7 @@
 		w.jobs[j.Spec.Ref] = j
 	}
 	w.mu.Unlock()
-	body, _ := json.Marshal(j.Spec)
+	body := form(&j.Spec)
 	asked := time.Now()
 	status, raw := w.Ask(node, "POST", "/submissions", body, 5*time.Second)
 	w.told(j.Spec.Ref, asked, status, raw, status == 200 || status == 201)
@@ -123,6 +123,7 @@
 	}
 	if accepted && j.accepted.IsZero() {
 		j.accepted = time.Now()
+		w.look(ref, "accepted")
 	}
 	if (status == 404 || status == 400 || status == 422) && !j.accepted.IsZero() && !j.accepted.After(asked) {
 		w.breakRule("forgotten", "%s got %d", ref, status)
@@ -144,6 +145,7 @@
 	if a.Phase == protocol.Cancelled && j.cancelled.IsZero() {
 		j.cancelled = time.Now()
 		w.note("%s is cancelled", ref)
+		w.look(ref, "cancelled")
 	}
 	if !final(j.told) && a.Phase != j.told {
 		j.told, j.toldAt = a.Phase, time.Now()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -23,6 +23,7 @@
 	gone, hung      bool
 	dead            bool // it has stopped with all that was on it, and is listed still
 	deaf            bool // what is sent to it is lost, its reports arrive
+	mute            bool // it reaches no controller, while direct commands reach it
 	cutOff          bool // no packets in or out; what is sent is held and comes late
 	sick            bool // every task that starts here fails
 	slow            bool // tasks take four times as long
@@ -85,7 +86,8 @@
 }
 
 // Set changes a machine's condition: hang, resume, cut, heal, sick, slow, well,
-// notice (it will be taken), take (it is taken at once), die, reboot, deaf, hears.
+// notice (it will be taken), take (it is taken at once), die, reboot, deaf, hears, mute,
+// speaks.
 func (w *World) Set(host, what string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -106,6 +108,10 @@
 		if m.deaf = what == "deaf"; m.deaf {
 			w.note("%s: deaf", host)
 		}
+	case "mute", "speaks":
+		if m.mute = what == "mute"; m.mute {
+			w.note("%s: mute", host)
+		}
 	case "cut":
 		m.cutOff = true
 	case "heal":
@@ -263,6 +269,9 @@
 	return r
 }
 
+// ignored is what nobody waits for any more.
+func ignored(transport.Response) {}
+
 // report makes one report and returns when to make the next.
 func (m *Machine) report() time.Duration {
 	w := m.w
@@ -275,6 +284,11 @@
 		w.mu.Unlock()
 		return time.Second
 	}
+	if m.mute {
+		m.node++
+		w.mu.Unlock()
+		return time.Second
+	}
 	name := w.names[m.node%len(w.names)]
 	h := w.nodes[name]
 	if w.trouble["deaf "+name] {
@@ -283,7 +297,10 @@
 	body, _ := json.Marshal(m.account())
 	sent, session, tick := time.Now(), m.session, strconv.FormatUint(m.seq, 10)
 	if h != nil {
-		m.said = func() { go h("POST", reportPath, body, func(transport.Response) {}) }
+		m.said = func() { go h("POST", reportPath, body, ignored) }
+	}
+	if w.trouble["reports for next"] && w.chance(40, "keep", m.host, tick) {
+		w.keep(m, body)
 	}
 	if h != nil && !m.cutOff && w.trouble["late reports"] && w.chance(40, "copy", m.host, tick) {
 		m.later(w.between(2*time.Second, w.Workers.Lease*3/2, "copy", m.host, tick), m.said)
@@ -294,14 +311,14 @@
 		// The packets are held and may arrive once the cut is over, though nobody
 		// waits for an answer any more.
 		if h != nil && w.chance(50, m.host, tick) {
-			w.held[m.host] = append(w.held[m.host], func() { go h("POST", reportPath, body, func(transport.Response) {}) })
+			w.held[m.host] = append(w.held[m.host], func() { go h("POST", reportPath, body, ignored) })
 		}
 		w.mu.Unlock()
 		return 4 * time.Second
 	}
 	if h != nil && !m.reached(name) {
 		if w.chance(50, m.host, tick) {
-			w.hold(m.zone, w.zoneOf[name], func() { go h("POST", reportPath, body, func(transport.Response) {}) })
+			w.hold(m.zone, w.zoneOf[name], func() { go h("POST", reportPath, body, ignored) })
 		}
 		m.node++
 		w.mu.Unlock()
@@ -643,6 +660,7 @@
 			_, num, _ := protocol.SplitTask(name)
 			j.done[num] = true
 			m.exit(name, t, protocol.CauseDone)
+			m.w.ended(j)
 		}
 		m.after(name, t, run, end)
 	}
@@ -681,6 +699,10 @@
 	if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
 		w.breakRule("ran_cancelled", "%s starts on %s", name, m.host)
 	}
+	if !j.cancelled.IsZero() {
+		w.vain++
+		w.note("%s starts after its cancellation was confirmed", name)
+	}
 }
 
 // assemble starts a gang's attempt if all of its tasks wait for one another.
@@ -730,6 +752,7 @@
 			}
 		}
 	}
+	w.ended(j)
 }
 
 // Held is the highest token that each worker obeys which nothing keeps from being
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -51,6 +51,8 @@
 	// OnStop, if set, is told of every running task that a command stops, with what
 	// the teams use, and says what rule that breaks. The world's lock is held.
 	OnStop func(task, host string, use map[string][2]float64) (rule string)
+	kept   map[string][][]byte // reports that wait for the next leader, by host
+	vain   int                 // starts after a confirmed cancellation
 	faults
 }
 
@@ -59,10 +61,12 @@
 	world := &World{State: newState(), Workers: w, Teams: teams, ctx: ctx, seed: seed, rolls: make(map[uint64]uint64),
 		nodes: make(map[string]NodeHandler), trouble: make(map[string]bool),
 		machines: make(map[string]*Machine), hires: make(map[string][]string), jobs: make(map[string]*Job), aborted: make(map[string]bool),
-		held: make(map[string][]func()), began: time.Now(), faults: newFaults(), above: make(map[string]protocol.Team),
+		held: make(map[string][]func()), began: time.Now(), faults: newFaults(), above: make(map[string]protocol.Team), kept: make(map[string][][]byte),
 		Types: []protocol.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 50, PullGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}}
 	go world.State.run(ctx)
+	world.State.onShard = world.newLeader
 	go world.check()
+	go world.oddly()
 	return world
 }
 
@@ -146,6 +150,14 @@
 //	lossy          its answers get lost, and transactions are applied late or twice
 //	late writes    two in five transactions get no answer and are carried out 2 to 12 s
 //	               later, after newer ones
+//	unanswered writes  two in five transactions are carried out at once, and only their
+//	               answer is lost
+//	reports for next   copies of two in five of the workers' reports are kept, and reach
+//	               every controller as a shard gets a new token
+//	close looks    users ask at all nodes within milliseconds, and repeat the submission,
+//	               when a job was accepted, has ended or was cancelled; some cancel at once
+//	cancel at end  two in five of the jobs that end are cancelled at that moment
+//	odd requests   users repeat submissions, cancel what is done, send what can't run
 //	late reports   of two in five of the workers' reports a copy arrives again, from 2 s
 //	               to well over a lease later
 //	swallow        every transaction is carried out and no answer arrives
@@ -180,7 +192,8 @@
 
 // troubles are the names that Trouble knows; those that end in a space want one more
 // word, a controller's or a zone's name.
-var troubles = []string{"outage", "slow", "lossy", "late writes", "late reports", "swallow", "refuse ", "severed ", "deaf ", "freeze ", "zone ", "alone ",
+var troubles = []string{"outage", "slow", "lossy", "late writes", "unanswered writes", "late reports", "reports for next",
+	"close looks", "cancel at end", "odd requests", "swallow", "refuse ", "severed ", "deaf ", "freeze ", "zone ", "alone ",
 	"cloud", "stingy", "half", "slow boots", "no boots", "fast boots", "lost"}
 
 // Knows tells whether Trouble knows a name, and what it may have for its second word.
@@ -192,11 +205,18 @@
 }
 
 // conditions are what Set knows.
-var conditions = []string{"hang", "resume", "cut", "heal", "sick", "slow", "well", "deaf", "hears", "notice", "take", "die", "reboot"}
+var conditions = []string{"hang", "resume", "cut", "heal", "sick", "slow", "well", "deaf", "hears", "mute", "speaks", "notice", "take", "die", "reboot"}
 
 // KnowsCondition tells whether Set knows it.
 func KnowsCondition(what string) bool { return slices.Contains(conditions, what) }
 
+// Vain counts the starts after a confirmed cancellation.
+func (w *World) Vain() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.vain
+}
+
 // SetSpare sets how many machines the cloud has left to rent.
 func (w *World) SetSpare(count int) {
 	w.mu.Lock()
@@ -215,7 +235,7 @@
 		w.Trouble(name, false)
 	}
 	for _, host := range hosts {
-		for _, what := range []string{"resume", "heal", "well", "hears"} {
+		for _, what := range []string{"resume", "heal", "well", "hears", "speaks"} {
 			w.Set(host, what)
 		}
 	}
@@ -355,6 +375,9 @@
 	if addr == "state" && target == protocol.PathMulti && w.trouble["late writes"] && w.chance(40, what...) {
 		return late
 	}
+	if addr == "state" && target == protocol.PathMulti && w.trouble["unanswered writes"] && w.chance(40, what...) {
+		return lost
+	}
 	lossy := addr == "state" && target == protocol.PathMulti && w.trouble["lossy"]
 	if !lossy && (addr != "cloud" || !w.trouble["lost"] || strings.HasPrefix(target, protocol.PathMachines+"?")) {
 		return fine
