--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -296,10 +296,11 @@
 		return unsettled
 	case !m.settled(s):
 		return unsettled
-	case stop, n.overUsed(c.spec), m.hearing.Deaf(), n.mute(m, now):
+	case stop, n.overUsed(c.spec), m.hearing.Deaf(), n.mute(m, now) && !n.stateDown(now):
 		// Also what a limit lowered since leaves no room for: what runs may go on, what is
 		// not there may not begin. A machine that does not hear would not begin it, and one
-		// that does not report would lose it with its lease.
+		// that does not report would lose it with its lease, which is more than an outage
+		// lets begin elsewhere.
 		if m.outstanding(name, p.Try) {
 			s.wantRaise(m)
 			return unsettled
--- a/internal/coordination/users_test.go
+++ b/internal/coordination/users_test.go
@@ -62,6 +62,8 @@
 				n.mu.Unlock()
 				led.txn.Done(ledger.Result{Err: ledger.ErrConflict, Failed: []string{key}, Epoch: 8})
 				time.Sleep(5 * time.Second)
+				n.mu.Lock()
+				defer n.mu.Unlock()
 				var a protocol.JobAnswer
 				if got.Status == 200 && json.Unmarshal(got.Body, &a) != nil {
 					t.Fatal("unreadable", got.Body)
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,95 @@
+package verdict
+
+import (
+	"strings"
+	"testing"
+)
+
+// events writes lines of go test -json: "action package [test [output]]".
+func events(lines ...string) string {
+	var b strings.Builder
+	for _, line := range lines {
+		f := strings.SplitN(line, " ", 4)
+		b.WriteString(`{"Action":"` + f[0] + `",`)
+		if strings.HasPrefix(f[0], "build") {
+			b.WriteString(`"ImportPath":"m/` + f[1] + `"`)
+		} else {
+			b.WriteString(`"Package":"m/` + f[1] + `"`)
+		}
+		if len(f) > 2 && f[2] != "-" {
+			b.WriteString(`,"Test":"` + f[2] + `"`)
+		}
+		if len(f) > 3 {
+			b.WriteString(`,"Output":"` + f[3] + `\n"`)
+		}
+		b.WriteString("}\n")
+	}
+	return b.String()
+}
+
+// Exactly the listed tests may fail; whatever else goes wrong fails the run.
+func TestJudge(t *testing.T) {
+	const red = "internal/a.TestRed | it forgets | issue 7"
+	clean := []string{"pass internal/a TestGood", "pass internal/a"}
+	fails := []string{"pass internal/a TestGood", "fail internal/a TestRed", "fail internal/a"}
+	part := []string{"fail internal/a TestAll/one", "pass internal/a TestAll/two", "fail internal/a TestAll", "fail internal/a"}
+	for _, c := range []struct {
+		name, known string
+		lines       []string
+		want        string // in a reason; empty: the run passes
+	}{
+		{"all pass", "", clean, ""},
+		{"a known one fails", red, fails, ""},
+		{"an unknown one fails", "", fails, "internal/a.TestRed fails"},
+		{"another one fails beside it", red, append([]string{"fail internal/a TestGreen"}, fails...), "internal/a.TestGreen fails"},
+		{"a known one passes", red, append([]string{"pass internal/a TestRed"}, clean...), "the run says pass"},
+		{"a known one is skipped", red, append([]string{"skip internal/a TestRed"}, clean...), "the run says skip"},
+		{"a known one does not exist", red, clean, "there is no such test"},
+		{"a known part fails", "internal/a.TestAll/one | x | issue 7", part, ""},
+		{"the whole says more than its known part", "internal/a.TestAll/one | x | issue 7", append([]string{"output internal/a TestAll     a_test.go:7: more"}, part...), "internal/a.TestAll fails"},
+		{"an unknown part fails", "", part, "internal/a.TestAll/one fails"},
+		{"it does not build", red, append([]string{"build-output internal/b - no such name", "build-fail internal/b"}, fails...), "internal/b does not build"},
+		{"a panic in a known one", red, append([]string{"output internal/a TestRed panic: no such key"}, fails...), "a panic"},
+		{"a time-out", red, append([]string{"output internal/a TestRed panic: test timed out after 10m0s"}, fails...), "timed out"},
+		{"a data race outside the tests", red, append([]string{"output internal/b - WARNING: DATA RACE", "fail internal/b"}, fails...), "internal/b fails, and none of its tests"},
+		{"a data race in another test", red, append([]string{"output internal/b TestB     testing.go:1: race detected", "fail internal/b TestB", "fail internal/b"}, fails...), "internal/b.TestB fails"},
+		{"nothing ran", "", []string{"pass internal/a"}, "no test ran"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			known, err := ReadKnown(strings.NewReader(c.known))
+			if err != nil {
+				t.Fatal(err)
+			}
+			v, err := Judge(strings.NewReader(events(c.lines...)), "m", known)
+			reasons := strings.Join(v.Reasons, "; ")
+			if err != nil || (c.want == "") != (reasons == "") || !strings.Contains(reasons, c.want) {
+				t.Errorf("%q, %v, wanted %q", reasons, err, c.want)
+			}
+			if c.want == "" && len(v.Known) != len(known) {
+				t.Errorf("%v are named, wanted %v", v.Known, known)
+			}
+		})
+	}
+	if _, err := Judge(strings.NewReader("ok m 0.1s\n"), "m", nil); err == nil {
+		t.Error("what is not JSON is taken for results")
+	}
+}
+
+func TestReadKnown(t *testing.T) {
+	one := "internal/a.TestA | why | issue 1\n"
+	for text, want := range map[string]string{
+		"":                              "",
+		one + "\n":                      "",
+		"TestA":                         "line 1 is not",
+		one + "internal/a.TestB |  | 7": "line 2 is not",
+		"internal/a.TestB | why":        "line 1 is not",
+		"all tests | why | issue 1":     "line 1 is not",
+		one + one:                       "names internal/a.TestA again",
+		one + "TestB | b | 1\nTestC | c | 1\nTestD | d | 1": "line 4 is one more",
+	} {
+		_, err := ReadKnown(strings.NewReader(text))
+		if (want == "") != (err == nil) || (err != nil && !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
