A machine heard again after a silence is not taken for mute; mute ones are asked often

Cause: after a cut of a minute or a long hang a machine answers before it reports, and would have been taken for mute since its last report: a whole shard given back at once. Found by reading; TestHeardAgainIsNotMute shows it. Change: mute counts from when it is heard again; a mute machine is asked twice a beat, since only its answers tell that its lease has ended.

--- a/internal/coordination/life_test.go
+++ b/internal/coordination/life_test.go
@@ -174,3 +174,38 @@
 		}
 	})
 }
+
+// A machine that is heard again after a long silence answers before it reports: a whole
+// shard whose controller had lost it for a minute is neither shunned nor given back for
+// that. One that goes on answering and does not report is.
+func TestHeardAgainIsNotMute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fleetOf(t, 30)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.cfg.Workers.Lease = 12 * time.Second
+		m := n.shards["n0"].machines[0]
+		n.report(reportOf(m, 88))
+		seq := uint64(88)
+		answers := func(last time.Duration) {
+			for end := time.Now().Add(last); time.Now().Before(end); time.Sleep(time.Second) {
+				seq++
+				n.observe(m, reportOf(m, seq))
+			}
+		}
+		time.Sleep(time.Minute)
+		answers(3 * time.Second)
+		if n.mute(m, time.Now()) {
+			t.Error("taken for mute as it is heard again")
+		}
+		answers(6 * time.Second)
+		if !n.mute(m, time.Now()) {
+			t.Error("not noticed")
+		}
+		seq++
+		n.report(reportOf(m, seq))
+		if n.mute(m, time.Now()) {
+			t.Error("taken for mute though it reports")
+		}
+	})
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -29,6 +29,7 @@
 	tasks   map[string]*protocol.TaskReport
 	heard   time.Time // latest sign of life
 	said    time.Time // when a report of its own last arrived
+	back    time.Time // since when it is heard again, after a silence
 	running map[string]time.Time
 	images  []ledger.ImageUse // most recently used last
 	warned  time.Time
@@ -198,6 +199,9 @@
 	}
 	anew := m.rep == nil || m.rep.Token != r.Token || m.rep.Session != r.Session
 	before := m.tasks
+	if n.silence(m, now) > n.pol.Suspect {
+		m.back = now // its reports may take a moment longer than its answers
+	}
 	m.rep, m.heard = r, now
 	m.tasks = make(map[string]*protocol.TaskReport, len(r.Tasks))
 	news := anew || len(before) != len(r.Tasks)
@@ -611,9 +615,17 @@
 	return m.adoptedAt
 }
 
+// hearsSince is from when on this process has heard a machine, by its answers at least.
+func (n *Node) hearsSince(m *machine) time.Time {
+	if from := n.listensSince(m); from.After(m.back) {
+		return from
+	}
+	return m.back
+}
+
 // mute tells that a machine answers at best, and does not report.
 func (n *Node) mute(m *machine, now time.Time) bool {
-	return recovery.Mute(m.said, n.listensSince(m), now, n.cfg.Workers.Lease)
+	return recovery.Mute(m.said, n.hearsSince(m), now, n.cfg.Workers.Lease)
 }
 
 // silence is how long a machine has given no sign of life to this owner.
@@ -659,11 +671,12 @@
 		}
 		return
 	}
-	if (quiet > n.pol.Probe || m.hearing.Ask(now, m.heard)) && !m.probing {
+	// A mute one tells only when asked that its lease has ended, with what it ran.
+	if (quiet > n.pol.Probe || m.hearing.Ask(now, m.heard) || (quiet > n.cfg.Workers.Report/2 && n.mute(m, now))) && !m.probing {
 		n.probe(m)
 	}
 	s.wantRaise(m)
-	if recovery.Useless(m.said, n.listensSince(m), now, n.cfg.Workers.Lease) && quiet <= n.pol.Suspect && !m.returning && !n.ownFault(s, now) && !n.stateDown(now) && m.showsNone() {
+	if recovery.Useless(m.said, n.hearsSince(m), now, n.cfg.Workers.Lease) && quiet <= n.pol.Suspect && !m.returning && !n.ownFault(s, now) && !n.stateDown(now) && m.showsNone() {
 		// It answers, but its lease ends again and again, with all that it is given.
 		n.log.Info("fencing a machine whose reports do not arrive", "host", m.host)
 		n.returnMachine(s, m)
