A cancellation is told once its claims are known: the open gap of the outage is closed

Excluded: reading the claims before each answer, a request and 2 s for every cancellation. Change: 'cancelled' is told once the watch has come to its revision, or 503; a job whose cancellation is known ahead of the watch is kept until then.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -86,6 +86,7 @@
 	lead       string
 	leadMine   bool // this very process leads
 	leadBusy   bool
+	untold     []untold // answers that wait for the watch
 	unknown    map[string]unknownHost
 	gathers    map[string]*gathering
 	hosts      map[string]*hostUse // what claims place on each host
@@ -95,6 +96,7 @@
 	groups     map[string]group
 	imageRecs  map[string]*ledger.Images
 	cancelled  map[string]*job       // those that are cancelled and have claims left
+	ahead      map[string]*job       // those whose cancellation is known ahead of the watch
 	repeatFrom string                // of these, the one to be repeated next
 	hungry     map[string]*job       // those of which a task may be without a machine
 	plans      map[string]*plan      // by job: the room for which it has displaced others
@@ -197,7 +199,7 @@
 		ratios: make(map[string]float64), refused: make(map[string]time.Time),
 		heardFrom: make(map[string]time.Time), waits: make(map[string]waitsSeen), cutSeen: make(map[string]time.Time),
 		hosts: make(map[string]*hostUse), wideClaims: make(map[*claim]struct{}), use: make(map[teamShard][2]float64),
-		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
+		teamRun: make(map[string][2]float64), outbox: make(map[*machine]struct{}), groups: make(map[string]group), cancelled: make(map[string]*job), ahead: make(map[string]*job), hungry: make(map[string]*job), plans: make(map[string]*plan), imageRecs: make(map[string]*ledger.Images), returns: make(map[string]*machine),
 		teamKept: make(map[string]quota.Amount), teamSure: make(map[string]quota.Amount), bookings: make(map[string]*booking),
 		ctx: context.Background(),
 	}
@@ -297,7 +299,7 @@
 				n.take(it)
 			}
 			epoch = upTo
-			n.epoch = max(n.epoch, epoch)
+			n.reached(epoch)
 			n.mu.Unlock()
 			n.poke()
 			n.pause(ctx, watchPause)
@@ -321,8 +323,8 @@
 	for _, key := range gone {
 		n.store(key, nil, epoch)
 	}
-	n.epoch = max(n.epoch, epoch)
 	n.loaded = true
+	n.reached(epoch)
 }
 
 // sessionLoop keeps this node's lease and the record that shows it is alive.
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -136,6 +136,7 @@
 		n.mu.Lock()
 		now := time.Now()
 		n.look(now)
+		n.tellUntold(now)
 		if n.loaded && n.permit != 0 {
 			for _, name := range n.shardNames() {
 				if s := n.shards[name]; !s.busy {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -94,17 +94,62 @@
 	return a, j.stamp, j.rec.Final(), true
 }
 
+// untold is an answer that waits for the watch.
+type untold struct {
+	epoch uint64
+	until time.Time
+	tell  func(known bool)
+}
+
+// tell answers with what the cache says of a job, which is known. That it is cancelled
+// is told once the watch has come as far: nothing of it is placed after that revision, so
+// this node then knows every machine that may have a task of it, and can see to its end
+// when nobody else can. Told at once, a claim committed a moment before by an owner that
+// nobody reaches was known to nobody when an outage followed. Within the time given that
+// is known or the user asks again.
+func (n *Node) tell(ref string, status int, within time.Duration, reply func(transport.Response)) {
+	a, stamp, final, _ := n.answerOf(ref)
+	if status == 201 && !final {
+		a = protocol.JobAnswer{Ref: ref, Phase: protocol.Pending}
+	}
+	if a.Phase != protocol.Cancelled || n.epoch >= stamp {
+		reply(jobResponse(status, a))
+		return
+	}
+	n.untold = append(n.untold, untold{stamp, time.Now().Add(within), func(known bool) {
+		if known {
+			reply(jobResponse(status, a))
+		} else {
+			reply(unavailable(1))
+		}
+	}})
+}
+
+// tellUntold gives the answers for which the watch has come far enough, or which can't
+// wait any longer.
+func (n *Node) tellUntold(now time.Time) {
+	n.untold = slices.DeleteFunc(n.untold, func(u untold) bool {
+		known := n.epoch >= u.epoch
+		if known || now.After(u.until) {
+			u.tell(known)
+			return true
+		}
+		return false
+	})
+}
+
 // confirm answers a question about a job. A final state never changes, so the
 // cache suffices; anything else is confirmed by the state service, since
 // another node may have told this user something newer. absent is the answer
 // for a job that was never accepted.
 func (n *Node) confirm(ref string, within time.Duration, absent func(), reply func(transport.Response)) {
-	a, stamp, final, _ := n.answerOf(ref)
+	_, stamp, final, _ := n.answerOf(ref)
 	if final {
-		reply(jobResponse(200, a))
+		n.tell(ref, 200, within, reply)
 		return
 	}
 	now := time.Now()
+	until := now.Add(within)
 	switch {
 	case !n.loaded:
 		reply(unavailable(1))
@@ -122,19 +167,18 @@
 		switch {
 		case err == nil:
 			// The cache may have moved on meanwhile, and is at least as new.
-			if now, _, _, found := n.answerOf(ref); found {
-				reply(jobResponse(200, now))
+			if _, _, _, found := n.answerOf(ref); found {
+				n.tell(ref, 200, time.Until(until), reply)
 			} else {
 				absent()
 			}
 		case errors.Is(err, ledger.ErrConflict):
 			// The cache has been refreshed from the state service just now.
-			now, newer, _, found := n.answerOf(ref)
-			if !found || newer == stamp {
+			if _, newer, _, found := n.answerOf(ref); !found || newer == stamp {
 				reply(unavailable(1))
 				return
 			}
-			reply(jobResponse(200, now))
+			n.tell(ref, 200, time.Until(until), reply)
 		default:
 			reply(n.later(ledger.PrioUser, time.Now()))
 		}
@@ -235,6 +279,7 @@
 	for _, name := range at {
 		n.queuedNow[name] += spec.CPUs * float64(spec.Tasks)
 	}
+	until := now.Add(submitWithin)
 	n.commit(ledger.PrioUser, conds, ops, submitWithin, func(err error) {
 		if c != nil {
 			n.finishClaim(s, c, err)
@@ -242,12 +287,12 @@
 		switch {
 		case err == nil:
 			n.log.Debug("job accepted", "job", spec.Ref, "class", spec.Class, "tasks", spec.Tasks, "image", spec.Image, "at", at, "claimed", c != nil)
-			reply(n.accepted(spec.Ref))
+			n.tell(spec.Ref, 201, time.Until(until), reply)
 			n.announce(key)
 		case errors.Is(err, ledger.ErrConflict):
-			if a, _, final, known := n.answerOf(spec.Ref); known {
+			if _, _, final, known := n.answerOf(spec.Ref); known {
 				if final {
-					reply(jobResponse(200, a))
+					n.tell(spec.Ref, 200, time.Until(until), reply)
 				} else {
 					n.confirm(spec.Ref, submitWithin/2, func() { reply(unavailable(1)) }, reply)
 				}
@@ -270,22 +315,11 @@
 			reply(n.later(ledger.PrioUser, time.Now()))
 			return
 		}
-		reply(n.accepted(rec.Spec.Ref))
+		n.tell(rec.Spec.Ref, 201, submitWithin/4, reply)
 		n.announce(key)
 	})
 }
 
-// accepted is the answer to a submission that has just been recorded. The record's own
-// answer may come after the news that the job was cancelled through another node, which
-// knew it from a repetition: then that is told.
-func (n *Node) accepted(ref string) transport.Response {
-	a, _, final, _ := n.answerOf(ref)
-	if !final {
-		a = protocol.JobAnswer{Ref: ref, Phase: protocol.Pending}
-	}
-	return jobResponse(201, a)
-}
-
 // handleAbort commits a cancellation before it is told.
 func (n *Node) handleAbort(ref string, reply func(transport.Response)) {
 	if !protocol.ValidRef(ref) {
@@ -298,11 +332,11 @@
 }
 
 func (n *Node) abort(ref string, until time.Time, reply func(transport.Response)) {
-	a, stamp, final, known := n.answerOf(ref)
+	_, stamp, final, known := n.answerOf(ref)
 	left := time.Until(until)
 	switch {
 	case final:
-		reply(jobResponse(200, a))
+		n.tell(ref, 200, left, reply)
 		return
 	case !n.loaded || left < 200*time.Millisecond:
 		reply(unavailable(1))
@@ -329,7 +363,7 @@
 		switch {
 		case err == nil:
 			n.announce(key)
-			reply(jobResponse(200, protocol.JobAnswer{Ref: ref, Phase: protocol.Cancelled}))
+			n.tell(ref, 200, time.Until(until), reply)
 		case errors.Is(err, ledger.ErrConflict):
 			if _, newer, _, _ := n.answerOf(ref); newer != stamp {
 				n.abort(ref, until, reply)
--- a/internal/coordination/users_test.go
+++ b/internal/coordination/users_test.go
@@ -54,7 +54,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				led := &asked{now: c.read, err: c.err}
 				n := New(Options{Settings: protocol.Settings{Node: "n0"}, Ledger: led, Log: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(1, 1))})
-				n.loaded = true
+				n.loaded, n.epoch = true, 8
 				var got transport.Response
 				n.handleQuery("wk-1", func(r transport.Response) { got = r })
 				n.mu.Lock()
@@ -77,19 +77,44 @@
 }
 
 // The answer of a submission's own record may come after the news that the job, known
-// elsewhere from a repetition, was cancelled there. Its user is told the newest.
-func TestAcceptanceIsToldAsItStands(t *testing.T) {
+// elsewhere from a repetition, was cancelled there. Its user is told the newest; and that
+// it is cancelled only once the watch has come to the cancellation, so that this node
+// knows of every claim committed before it, or not at all.
+func TestCancelledIsToldOnceItsClaimsAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New(Options{Settings: protocol.Settings{Node: "n0"}, Ledger: &asked{}, Log: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(1, 1))})
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.storeJob("wk-1", &ledger.Job{Spec: &protocol.Submission{Ref: "wk-1", Tasks: 1}, Size: 1}, 5)
-		var a protocol.JobAnswer
-		for _, want := range []string{protocol.Pending, protocol.Cancelled} {
-			if r := n.accepted("wk-1"); r.Status != 201 || json.Unmarshal(r.Body, &a) != nil || a.Phase != want {
-				t.Errorf("%d %s, wanted %s", r.Status, r.Body, want)
+		n.loaded, n.epoch = true, 5
+		answer := func() *transport.Response {
+			r := &transport.Response{}
+			n.tell("wk-1", 201, time.Second, func(got transport.Response) { *r = got })
+			return r
+		}
+		expect := func(what string, r *transport.Response, status int, phase string) {
+			t.Helper()
+			var a protocol.JobAnswer
+			if r.Status != status || (phase != "" && (json.Unmarshal(r.Body, &a) != nil || a.Phase != phase)) {
+				t.Errorf("%s: %d %s, wanted %d %s", what, r.Status, r.Body, status, phase)
 			}
-			n.storeJob("wk-1", &ledger.Job{State: protocol.Cancelled, Tasks: 1}, 6)
+		}
+		n.store(ledger.JobKeys+"wk-1", &ledger.Job{Spec: &protocol.Submission{Ref: "wk-1", Tasks: 1}, Size: 1}, 6)
+		expect("accepted", answer(), 201, protocol.Pending)
+		n.store(ledger.JobKeys+"wk-1", &ledger.Job{State: protocol.Cancelled, Tasks: 1}, 8)
+		first := answer()
+		expect("the watch is behind", first, 0, "")
+		time.Sleep(500 * time.Millisecond)
+		second := answer()
+		time.Sleep(600 * time.Millisecond)
+		n.tellUntold(time.Now())
+		expect("its time is over", first, 503, "")
+		expect("it still has time", second, 0, "")
+		n.epoch = 8
+		n.tellUntold(time.Now())
+		expect("the watch has come as far", second, 201, protocol.Cancelled)
+		expect("and from then on", answer(), 201, protocol.Cancelled)
+		if len(n.untold) != 0 {
+			t.Errorf("%d answers are kept", len(n.untold))
 		}
 	})
 }
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -211,7 +211,7 @@
 		return // job records are kept for ever
 	}
 	if j == nil {
-		if r.Final() && !n.hasClaims(ref) {
+		if r.Final() && !n.hasClaims(ref) && !n.mayHaveClaims(r, stamp) {
 			n.remember(ref, r, stamp)
 			return
 		}
@@ -303,8 +303,31 @@
 	stamp uint64
 }
 
+// mayHaveClaims tells that a job's cancellation is known ahead of the watch, which may
+// yet bring claims of it. Forgotten at once, the job had to be read again for them, which
+// nobody can in an outage, and they were minded by nobody.
+func (n *Node) mayHaveClaims(r *ledger.Job, stamp uint64) bool {
+	return n.loaded && r.State == protocol.Cancelled && stamp > n.epoch
+}
+
+// reached takes it that the watch is complete up to a revision.
+func (n *Node) reached(epoch uint64) {
+	n.epoch = max(n.epoch, epoch)
+	for ref, j := range n.ahead {
+		if !n.mayHaveClaims(j.rec, j.stamp) {
+			delete(n.ahead, ref)
+			n.forgetIfOver(j)
+		}
+	}
+	n.tellUntold(time.Now())
+}
+
 func (n *Node) forgetIfOver(j *job) {
-	if j.rec.Final() && len(j.claims) == 0 {
+	if n.mayHaveClaims(j.rec, j.stamp) {
+		n.ahead[j.ref] = j
+		return
+	}
+	if j.rec.Final() && len(j.claims) == 0 && n.jobs[j.ref] == j {
 		delete(n.jobs, j.ref)
 		delete(n.cancelled, j.ref)
 		n.remember(j.ref, j.rec, j.stamp)
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -91,6 +91,8 @@
 		switch {
 		case err == nil:`},
 	{"what could not be read anew is not answered", "node.go", `if !read && prio == ledger.PrioUser {`, `if false && !read {`},
+	{"a cancellation is told once its claims are known", "users.go", `if a.Phase != protocol.Cancelled || n.epoch >= stamp {`, `if true {`},
+	{"claims may come after their job's cancellation", "view.go", `return n.loaded && r.State == protocol.Cancelled && stamp > n.epoch`, `return false`},
 	{"done needs all chunks", "settle.go", `(!o.rec.Full() || o.pend != nil)`, `false`},
 	{"zones of what is placed already", "queue.go", `return newZoneRule(u.spec, n.zonesTaken(u.c))`, `return newZoneRule(u.spec, nil)`},
 	{"a gang claimed meanwhile is not placed again", "gather.go", `|| !gatherable(j) {
