--- a/internal/schedule/meetings.go
+++ b/internal/schedule/meetings.go
@@ -186,6 +186,7 @@
 	switch d.pick("users", "looks", "looks", "unanswered", "limits", "limits", "handover", "boots", "for next", "for next", "mute", "calloff", "odd", "small") {
 	case "looks":
 		d.trouble("close looks", at-time.Second)
+		d.trouble("hasty users", at-time.Second)
 		d.trouble("cancel at end", at-time.Second)
 		small(at)
 		d.trouble(d.pick("with", "unanswered writes", "slow", "lossy", "refuse "+d.node(), "late writes"), soon())
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -238,6 +238,8 @@
 		"1s stream 4":                       "stream COUNT for TIME",
 		"1s stream none for 3s":             "stream COUNT for TIME",
 		"1s polls 4 for long":               "polls COUNT for TIME",
+		"1s expect happened often it runs":  "happened LEAST WORDS",
+		"1s expect happened 3":              "happened LEAST WORDS",
 		"1s expect vain few":                "vain MOST",
 		"1s trouble closed looks on":        `not "closed looks" "on"`,
 		"1s sever n1 on":                    `unknown step "sever"`,
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -426,6 +426,23 @@
 		}
 		return nil
 	}
+	if f[0] == "happened" { // happened LEAST WORDS: so many events have these words
+		least, err := strconv.Atoi(f[1])
+		words := strings.Join(f[2:], " ")
+		if err != nil || words == "" {
+			return fmt.Errorf("script: expect happened LEAST WORDS, not %q", strings.Join(f, " "))
+		}
+		got := 0
+		for _, line := range c.w.Events() {
+			if strings.Contains(line, words) {
+				got++
+			}
+		}
+		if got < least {
+			return fmt.Errorf("%d times %q", got, words)
+		}
+		return nil
+	}
 	if f[0] == "vain" { // vain MOST: starts after a confirmed cancellation
 		most, err := strconv.Atoi(f[1])
 		if err != nil {
--- a/internal/standin/looks.go
+++ b/internal/standin/looks.go
@@ -30,19 +30,19 @@
 const rounds = 4
 
 // look has users ask about a job at all nodes within milliseconds, again and again, and
-// repeat its submission; in one case of five they call it off in between. The world's
-// lock is held.
+// repeat its submission; hasty ones cancel it in between. The world's lock is held.
 func (w *World) look(ref, why string) {
 	if !w.trouble["close looks"] {
 		return
 	}
 	j := w.jobs[ref]
 	body := form(&j.Spec)
+	w.note("%s: users look closely, %s", ref, why)
 	for _, node := range w.names {
 		for i := range rounds {
 			n := fmt.Sprint(i)
 			after := time.Duration(i)*3*time.Millisecond + w.between(50*time.Microsecond, 3*time.Millisecond, "look", ref, why, node, n)
-			again, off := w.chance(25, "again", ref, why, node, n), why == "accepted" && i == 1 && w.chance(7, "off", ref, node)
+			again, off := w.chance(25, "again", ref, why, node, n), w.trouble["hasty users"] && why == "accepted" && i == 1 && w.chance(10, "off", ref, node)
 			if off {
 				w.aborted[ref] = true
 			}
@@ -204,6 +204,9 @@
 	if !w.trouble["reports for next"] {
 		return
 	}
+	if len(w.kept) > 0 {
+		w.note("old reports of %d machines reach every controller", len(w.kept))
+	}
 	for _, host := range slices.Sorted(maps.Keys(w.kept)) {
 		for i, body := range w.kept[host] {
 			for _, node := range w.names {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -156,7 +156,8 @@
 //	reports for next   copies of two in five of the workers' reports are kept, and reach
 //	               every controller as a shard gets a new token
 //	close looks    users ask at all nodes within milliseconds, and repeat the submission,
-//	               when a job was accepted, has ended or was cancelled; some cancel at once
+//	               when a job was accepted, has ended or was cancelled
+//	hasty users    of those that look closely at an acceptance some cancel at once
 //	cancel at end  two in five of the jobs that end are cancelled at that moment
 //	odd requests   users repeat submissions, cancel what is done, send what can't run
 //	late reports   of two in five of the workers' reports a copy arrives again, from 2 s
@@ -194,7 +195,7 @@
 // troubles are the names that Trouble knows; those that end in a space want one more
 // word, a controller's or a zone's name.
 var troubles = []string{"outage", "slow", "lossy", "late writes", "unanswered writes", "late reports", "reports for next",
-	"close looks", "cancel at end", "odd requests", "swallow", "refuse ", "severed ", "deaf ", "freeze ", "zone ", "alone ",
+	"close looks", "hasty users", "cancel at end", "odd requests", "swallow", "refuse ", "severed ", "deaf ", "freeze ", "zone ", "alone ",
 	"cloud", "stingy", "half", "slow boots", "no boots", "fast boots", "lost"}
 
 // Knows tells whether Trouble knows a name, and what it may have for its second word.
