No array waits for a minute and a half beside room: idle turns, machines kept for cards

Excluded: a larger idle share, fewer kept cards: both cost gangs and services their start. Change: idle work with nothing placed counts as not begun after 30 s, so one task of it begins; an array that waits for 75 s is owed one machine kept for cards.

--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"madderslip/internal/leftover"
 	"madderslip/internal/protocol"
@@ -50,6 +51,20 @@
 	return count
 }
 
+// waits is for how long a unit has waited with none of its tasks placed.
+func (u *unit) waits(now time.Time) time.Duration {
+	if u.c == nil || u.c.latest() == nil {
+		return now.Sub(u.j.seen)
+	}
+	if len(u.c.latest().Open) > 0 {
+		return 0
+	}
+	if u.c.bare.IsZero() {
+		u.c.bare = now
+	}
+	return now.Sub(u.c.bare)
+}
+
 // idleRuns tells that idle work runs in the shard that holds a unit's claim, or in one
 // of this node's.
 func (n *Node) idleRuns(u *unit) bool {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -88,6 +88,18 @@
 	}
 }
 
+// releaseCards no longer keeps one of those machines in this pass, for an array that has
+// waited beside it for too long, and tells whether there was one that takes it.
+func releaseCards(s *protocol.Submission, ref string, rooms []*room, z *zoneRule) bool {
+	for _, r := range rooms {
+		if (r.kept || r.keptIdle) && r.reservedFor == "" && r.takes(s, z) && r.fits(s) && !r.recentErrors[ref] {
+			r.kept, r.keptIdle = false, false
+			return true
+		}
+	}
+	return false
+}
+
 // allowed tells whether a job's tasks may run on such a machine at all.
 func allowed(s *protocol.Submission, typ, zone string, spot bool) bool {
 	return (len(s.Types) == 0 || slices.Contains(s.Types, typ)) &&
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -14,6 +14,11 @@
 	"madderslip/internal/quota"
 )
 
+// cardsOwed is how long an array waits with none of its tasks placed beside machines that
+// are kept for jobs with cards. Where all that its shard has are such machines it waited
+// for as long as jobs with cards had come of late.
+const cardsOwed = 75 * time.Second
+
 // unit is a queued chunk at one shard: unclaimed, or claimed with tasks left.
 type unit struct {
 	j     *job
@@ -25,6 +30,7 @@
 	ahead bool // one task of it begins ahead of its turn
 	most  int  // tasks that may start now, where idle is set
 	idle  bool // of the lowest rank: it takes what others leave
+	owed  bool // it has waited beside machines that are kept for cards for too long
 }
 
 func (u *unit) bounds() (first, count int) {
@@ -335,6 +341,8 @@
 	free := mostOf(rooms)
 	left, counted := leftover.Room{}, false // counted again only once something has changed: idle jobs come by the hundred
 	for _, u := range q {
+		waits := u.waits(now)
+		u.owed = u.spec.Shape == protocol.Array && u.spec.GPUs == 0 && waits > cardsOwed
 		if u.spec.Shape == protocol.Array && blocked && !u.due && !free.fits(u.spec) {
 			continue // no machine has room for even one of its tasks
 		}
@@ -343,7 +351,7 @@
 				left, counted = n.leftOver(s, rooms), true
 			}
 			left.Short = blocked
-			if u.most = left.Tasks(n.pol.IdleShare, u.spec.CPUs, u.c != nil); u.most <= 0 {
+			if u.most = left.Tasks(n.pol.IdleShare, u.spec.CPUs, leftover.Begun(u.c != nil, waits)); u.most <= 0 {
 				continue
 			}
 		}
@@ -354,7 +362,7 @@
 		if len(u.spec.Types) > 0 {
 			key.types = strings.Join(u.spec.Types, " ")
 		}
-		if failedSpecs[key] || n.heldUp(s, u, rooms, w, now) || (saving && u.spec.Shape == protocol.Array) {
+		if (failedSpecs[key] && !u.owed) || n.heldUp(s, u, rooms, w, now) || (saving && u.spec.Shape == protocol.Array) {
 			continue
 		}
 		if n.plans[u.j.ref] == nil && !u.trial && n.displaceForImage(s, u, rooms, now) {
@@ -505,7 +513,7 @@
 // when tasks are left for want of room.
 func (n *Node) placeUnit(s *shard, u *unit, rooms []*room, now time.Time) (placed, short bool) {
 	z := n.zonesOf(u)
-	if choose(u.spec, u.j.ref, rooms, &z, n.estimate(u.spec), now) < 0 {
+	if choose(u.spec, u.j.ref, rooms, &z, n.estimate(u.spec), now) < 0 && !(u.owed && releaseCards(u.spec, u.j.ref, rooms, &z)) {
 		return false, true // mostly so when much waits; copying the claim first cost more than all else
 	}
 	first, count := u.bounds()
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -58,6 +58,7 @@
 	halt   uint64            // gang: the attempt that is being ended
 	look   time.Time         // not to be looked at before
 	ripe   time.Time         // when the first completion not yet booked was seen
+	bare   time.Time         // since when a pass over the queue has found none of it placed
 
 	// Kept by reindex.
 	on        map[slot]*place
@@ -364,6 +365,9 @@
 	}
 	c.rec, c.stamp = r, stamp
 	c.ripe = time.Time{}
+	if len(r.Open) > 0 {
+		c.bare = time.Time{}
+	}
 	n.reindex(c)
 	if j != nil && j.chunks > 1 && r.Full() {
 		for _, o := range j.claims {
--- a/internal/leftover/leftover.go
+++ b/internal/leftover/leftover.go
@@ -9,7 +9,10 @@
 // is its own, or a standing backlog would starve it for good.
 package leftover
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Room is a shard's room, in CPUs, as one pass over its queue sees it.
 type Room struct {
@@ -45,6 +48,15 @@
 	return k
 }
 
+// turn is how long work that has begun waits with none of its tasks on a machine before
+// it counts as if it had not: then one more begins, beside what others of its rank have.
+const turn = 30 * time.Second
+
+// Begun tells whether work counts as begun: some of it has, and it has not waited for long
+// with none of its tasks placed. First come, first served in a share of one task kept an
+// array that had begun waiting behind another's hours, beside free room.
+func Begun(some bool, waits time.Duration) bool { return some && waits < turn }
+
 // Rent is how many CPUs more should be rented for arrays. need and idleNeed are the
 // CPUs with which others' and idle arrays would be worked off in time, have is what
 // runs arrays or is free, of which idle work leaves warm alone. Idle work is rented for
--- a/internal/leftover/leftover_test.go
+++ b/internal/leftover/leftover_test.go
@@ -1,6 +1,9 @@
 package leftover
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // What idle work may take: all that nobody needs, but the warm room; a small share
 // while others wait.
@@ -54,3 +57,17 @@
 		}
 	}
 }
+
+// An array that has begun and of which nothing runs has its turn again after a while; one
+// that has not begun has it at once, one that runs does not need it.
+func TestTurn(t *testing.T) {
+	for _, c := range []struct {
+		some  bool
+		waits time.Duration
+		want  bool
+	}{{false, 0, false}, {true, 0, true}, {true, 10 * time.Second, true}, {true, 31 * time.Second, false}} {
+		if got := Begun(c.some, c.waits); got != c.want {
+			t.Errorf("begun %v, waits for %v: %v", c.some, c.waits, got)
+		}
+	}
+}
--- a/internal/schedule/guards_test.go
+++ b/internal/schedule/guards_test.go
@@ -154,6 +154,9 @@
 			continue`, ` {
 			continue`},
 	{"idle work starts little while others wait", "../leftover/leftover.go", `	if r.Short {`, `	if false {`},
+	{"idle work that has begun has its turn again", "../leftover/leftover.go", `return some && waits < turn`, `return some`},
+	{"an array is owed a machine kept for cards", "place.go", `			r.kept, r.keptIdle = false, false
+			return true`, `			return false`},
 	{"a hire's machines wait for the watch", "fleet.go", `if n.epoch < h.stamp {`, `if false {`},
 	{"an array begins ahead of a burst", "../begin/begin.go", `return !begun && waited >= by`, `return false`},
 	{"little is rented for idle work", "../leftover/leftover.go", `	idleNeed = min(idleNeed, most)
