--- a/internal/coordination/recount.go
+++ b/internal/coordination/recount.go
@@ -129,6 +129,8 @@
 	count("wide claims", len(n.wideClaims))
 	count("jobs with waiting tasks", len(n.hungry))
 	count("plans to displace", len(n.plans))
+	count("cancellations ahead of the watch", len(n.ahead))
+	count("answers that wait for the watch", len(n.untold))
 	count("hires without an answer", len(n.hires))
 	for _, s := range n.shards {
 		count("claims to look at in "+s.name, len(s.dirty))
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -116,6 +116,10 @@
 		reply(jobResponse(status, a))
 		return
 	}
+	if now := time.Now(); n.stateDown(now) {
+		reply(n.later(ledger.PrioUser, now)) // the watch will not come in time
+		return
+	}
 	n.untold = append(n.untold, untold{stamp, time.Now().Add(within), func(known bool) {
 		if known {
 			reply(jobResponse(status, a))
