--- a/internal/coordination/cancel_test.go
+++ b/internal/coordination/cancel_test.go
@@ -50,3 +50,32 @@
 		}
 	})
 }
+
+// A cancellation may be known ahead of the watch, which then brings a claim committed
+// before it: the claim finds its job, so that its machine is minded. Forgotten for having
+// no claims yet, the job had to be read again for that, which nobody can in an outage.
+func TestClaimsFollowTheirJobsCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{Settings: protocol.Settings{Node: "n0"}, Ledger: idleLedger{}, Log: slog.New(slog.DiscardHandler)})
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.loaded, n.epoch = true, 5
+		for _, ref := range []string{"wk-1", "wk-2"} {
+			spec := &protocol.Submission{Ref: ref, Tasks: 1, Shape: protocol.Service}
+			n.store(ledger.JobKeys+ref, &ledger.Job{Spec: spec, State: protocol.Cancelled, Size: 1}, 8)
+		}
+		key := ledger.ClaimKey("wk-1", 0)
+		n.store(key, &ledger.Claim{Shard: "n1", Count: 1, Open: []ledger.Placement{{Task: 0, Try: 1, Host: "vm-1"}}}, 7)
+		if c := n.claims[key]; c == nil || c.spec == nil || n.cancelled["wk-1"] == nil || n.cancelled["wk-1"].claims[0] != c || len(n.orphans) != 0 {
+			t.Errorf("the claim has not found its job: %+v", c)
+		}
+		n.reached(8)
+		if n.jobs["wk-1"] == nil || n.jobs["wk-2"] != nil || n.final["wk-2"].state != protocol.Cancelled || len(n.ahead) != 0 {
+			t.Errorf("once the watch has come as far: jobs %v, ahead %v", n.jobs, n.ahead)
+		}
+		n.store(key, nil, 9)
+		if len(n.jobs) != 0 || n.final["wk-1"].state != protocol.Cancelled {
+			t.Errorf("once its claim is gone: jobs %v", n.jobs)
+		}
+	})
+}
