--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -727,7 +727,7 @@
 		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() {
 			continue
 		}
-		spec := j.rec.Spec
+		spec := j.spec()
 		if spec.Shape == protocol.Service && (service == nil || spec.Ref < service.Ref) {
 			service = spec // any will do, but the same one every time
 		}
@@ -852,7 +852,7 @@
 			boot = t.Boot()
 		}
 	}
-	left := n.jobs[w.spec.Ref].seen.Add(w.spec.Due()).Sub(now) - boot
+	left := n.jobs[w.spec.Ref].submitted().Add(w.spec.Due()).Sub(now) - boot
 	return max(left*7/10-est, n.pol.ArrayWait, est)
 }
 
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -87,7 +87,7 @@
 func (n *Node) wide(now time.Time) []*job {
 	var out []*job
 	for _, j := range n.jobs {
-		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() || j.rec.Spec.Shape != protocol.Gang || j.rec.Spec.Tasks < 2 ||
+		if j.rec == nil || j.rec.Spec == nil || j.rec.Final() || j.spec().Shape != protocol.Gang || j.spec().Tasks < 2 ||
 			now.Sub(j.seen) < gatherAfter || now.Before(j.pause) || j.onTrial(now) {
 			continue
 		}
@@ -97,12 +97,12 @@
 		fits := make(map[[2]string]int) // by shard, and by zone if it must be one
 		for _, s := range n.shards {
 			for k, count := range s.kinds {
-				if t := n.types[k.typ]; t != nil && canEver(j.rec.Spec, t) && allowed(j.rec.Spec, k.typ, k.zone, k.loaner) {
+				if t := n.types[k.typ]; t != nil && canEver(j.spec(), t) && allowed(j.spec(), k.typ, k.zone, k.loaner) {
 					at := [2]string{s.name}
-					if j.rec.Spec.SameZone {
+					if j.spec().SameZone {
 						at[1] = k.zone
 					}
-					fits[at] += perMachine(j.rec.Spec, t) * count
+					fits[at] += perMachine(j.spec(), t) * count
 				}
 			}
 		}
@@ -110,13 +110,13 @@
 		for _, k := range fits {
 			largest = max(largest, k)
 		}
-		if largest < j.rec.Spec.Tasks || j.claims[0] != nil {
+		if largest < j.spec().Tasks || j.claims[0] != nil {
 			out = append(out, j)
 		}
 	}
 	slices.SortFunc(out, func(a, b *job) int {
-		if a.rec.Spec.Prio() != b.rec.Spec.Prio() {
-			return b.rec.Spec.Prio() - a.rec.Spec.Prio()
+		if a.spec().Prio() != b.spec().Prio() {
+			return b.spec().Prio() - a.spec().Prio()
 		}
 		if a.rec.Born != b.rec.Born {
 			return int(a.rec.Born - b.rec.Born)
@@ -211,7 +211,7 @@
 				}
 			}
 		default:
-			next := n.holdable(s, ref, j.rec.Spec, now)
+			next := n.holdable(s, ref, j.spec(), now)
 			if len(next) == 0 || sameHold(next, h.rec.Hosts) {
 				continue
 			}
@@ -266,8 +266,8 @@
 		}
 		for host, k := range hosts {
 			for range k {
-				if r := byHost[host]; r != nil && r.fits(j.rec.Spec) {
-					r.take(j.rec.Spec)
+				if r := byHost[host]; r != nil && r.fits(j.spec()) {
+					r.take(j.spec())
 				}
 			}
 		}
@@ -276,7 +276,7 @@
 
 // placeWide places a gathered job whole, on condition of every hold it uses.
 func (n *Node) placeWide(j *job, g *gathering, now time.Time) {
-	spec := j.rec.Spec
+	spec := j.spec()
 	if g.busy {
 		return
 	}
--- a/internal/coordination/guarantee.go
+++ b/internal/coordination/guarantee.go
@@ -202,6 +202,9 @@
 
 // book has a displacement booked, if it takes what is borrowed.
 func (n *Node) book(s *shard, u *unit, plan []eviction, k *consent, now time.Time) {
+	if plan = cutLenders(plan, k, n.cfg.RecordLimits().TxnOps-1, u.together()); len(plan) == 0 {
+		return
+	}
 	id := u.id()
 	b := &booking{shard: s.name, team: u.spec.Team, until: now.Add(planFor)}
 	victims := make(map[string][]string)
@@ -236,6 +239,28 @@
 	})
 }
 
+// cutLenders leaves as many evictions of a plan as take from so many teams: each has a
+// record that the booking's one transaction changes. A plan that only serves whole goes
+// altogether.
+func cutLenders(plan []eviction, k *consent, most int, whole bool) []eviction {
+	lenders := map[string]bool{k.spec.Team: true}
+	for i, e := range plan {
+		for j := range e.victims {
+			if v := &e.victims[j]; k.borrowed(v) {
+				lenders[v.c.spec.Team] = true
+			}
+		}
+		if len(lenders) <= most+1 {
+			continue
+		}
+		if whole {
+			return nil
+		}
+		return plan[:i]
+	}
+	return plan
+}
+
 // carryOutBooked stops what a booking names, once all that was placed before it is
 // known and it still holds. Where it does not the booking goes, and nothing is
 // stopped.
--- a/internal/coordination/images.go
+++ b/internal/coordination/images.go
@@ -52,7 +52,7 @@
 	s.noted = now
 	for range imageParts {
 		s.part = (s.part + 1) % imageParts
-		rec := imagesOf(s, s.part, n.cfg.StateLimit.ValueBytes)
+		rec := imagesOf(s, s.part, n.cfg.RecordLimits().ValueBytes)
 		key := ledger.ImageKeys + s.name + "/" + strconv.Itoa(s.part)
 		if sameImages(rec, n.imageRecs[key]) {
 			continue
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -31,6 +31,7 @@
 	Submit(t *ledger.Txn)
 	Waiting(prio int) int
 	Share(part float64)
+	ValueBytes() int
 	Saw(key string, stamp uint64, exists bool)
 	LastOK() time.Time
 	Backlog(prio int) (changes int, rate float64)
@@ -124,6 +125,7 @@
 	waits      map[string]waitsSeen // changes that wait there, as they last said
 	cutSeen    map[string]time.Time // zones that seemed cut off, and when last
 	fleet      fleetState
+	pipelines  pipelines // jobs that wait for others
 	soughtWide time.Time // when jobs wider than any shard were last sought
 	cardsAt    time.Time // when a job with cards was last seen to come in
 	ctx        context.Context
@@ -134,6 +136,7 @@
 	stamp   uint64
 	since   time.Time
 	version int    // of what it understands of limits
+	waits   int    // of what it understands of jobs that wait for others
 	teams   uint64 // hash of the limits it was given
 }
 
@@ -203,6 +206,7 @@
 		teamKept: make(map[string]quota.Amount), teamSure: make(map[string]quota.Amount), bookings: make(map[string]*booking),
 		ctx: context.Background(),
 	}
+	n.pipelines = newPipelines(n.stateOf)
 	n.quota = quota.New(o.Settings.Teams, o.Policy.Allotments, n.usedBy)
 	for name := range o.Settings.Teams {
 		n.guarantees = n.guarantees || n.quota.Guaranteed(name)
@@ -332,7 +336,7 @@
 	ttl := n.pol.NodeLease
 	key := ledger.NodeKeys + n.cfg.Node
 	var permit uint64
-	rec := &ledger.Node{Boot: n.boot.UnixMilli()}
+	rec := &ledger.Node{Boot: n.boot.UnixMilli(), Pipelines: understandsPipelines}
 	rec.Version, rec.Teams = n.quota.Says()
 	for ctx.Err() == nil {
 		n.mu.Lock()
@@ -399,7 +403,7 @@
 		if seen.stamp == 0 {
 			seen.since = time.Now()
 		}
-		seen.stamp, seen.version, seen.teams = stamp, r.Version, r.Teams
+		seen.stamp, seen.version, seen.teams, seen.waits = stamp, r.Version, r.Teams, r.Pipelines
 		n.nodes[name] = seen
 	}
 	n.shareBudget(time.Now())
@@ -408,6 +412,12 @@
 // commit submits a transaction. done runs with the lock held, after the cache
 // shows the outcome: the written records, or what the failed keys hold now.
 func (n *Node) commit(prio int, conds []ledger.Cond, ops []ledger.Op, within time.Duration, done func(error)) {
+	n.commitAt(prio, conds, ops, within, func(err error, _ uint64) { done(err) })
+}
+
+// commitAt is commit, and tells done the state service's revision as it answered; 0 if
+// it did not.
+func (n *Node) commitAt(prio int, conds []ledger.Cond, ops []ledger.Op, within time.Duration, done func(error, uint64)) {
 	t := &ledger.Txn{Conds: conds, Ops: ops, Prio: prio}
 	if within > 0 {
 		t.Deadline = time.Now().Add(within)
@@ -422,10 +432,10 @@
 				if !read && prio == ledger.PrioUser {
 					// The cache may be newer than the condition and still older than what
 					// another node has told users: nobody here knows.
-					done(ledger.ErrUnknown)
+					done(ledger.ErrUnknown, 0)
 					return
 				}
-				done(res.Err)
+				done(res.Err, res.Epoch)
 			})
 			return
 		}
@@ -434,7 +444,7 @@
 				n.store(op.Key, op.Value, res.Epoch)
 			}
 		}
-		done(res.Err)
+		done(res.Err, res.Epoch)
 		n.poke()
 	}
 	n.led.Submit(t)
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -142,6 +142,15 @@
 	n.broadcast(n.ctx, msg)
 }
 
+// announceNew passes a job just accepted on.
+func (n *Node) announceNew(key string, rec *ledger.Job) {
+	if rec.State == ledger.Held {
+		n.announceKey(key, rec)
+		return
+	}
+	n.announce(key)
+}
+
 // announceKey passes a record just committed on.
 func (n *Node) announceKey(key string, rec any) {
 	if raw, err := protocol.Encode(rec); err == nil {
--- /dev/null
+++ b/internal/coordination/pipeline.go
@@ -0,0 +1,373 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/pipeline"
+	"madderslip/internal/protocol"
+	"madderslip/internal/transport"
+)
+
+// Package pipeline decides about jobs that wait for others. The loops here carry its
+// decisions out: a held job's record becomes an ordinary one once all that it needs is
+// done, and a final one once it is cancelled with a job before it. The second is only
+// tidiness: what is cancelled follows from the records that are there already.
+
+// understandsPipelines is what controllers of these sources say of themselves.
+const understandsPipelines = 1
+
+const (
+	releaseFirst  = 300 * time.Millisecond // after a job has become ready
+	releaseTurn   = 500 * time.Millisecond // between one controller's turn and the next's
+	tidyFirst     = 3 * time.Second
+	tidyTurn      = 5 * time.Second
+	mostReleasing = 24 // at a time
+	mostTidying   = 4  // at a time
+	rankEvery     = 2 * time.Second
+)
+
+// pipelines is what a node remembers of jobs that wait for others.
+type pipelines struct {
+	graph     *pipeline.Graph
+	releasing map[string]bool // a change of their record is under way
+	tidying   int
+	looking   bool // the records of needed jobs are being read
+	raised    map[string]*job
+	ranked    uint64 // the graph's changes up to which ranks have been passed on
+	rankedAt  time.Time
+}
+
+func newPipelines(lookup func(string) pipeline.State) pipelines {
+	return pipelines{graph: pipeline.NewGraph(lookup), releasing: make(map[string]bool), raised: make(map[string]*job)}
+}
+
+// inheritance is what an open job has from those that need it.
+type inheritance struct {
+	of   *protocol.Submission // the description that was raised
+	spec *protocol.Submission // the same with the higher rank; nil: its own counts
+	by   time.Time            // when it should be done for their deadlines; zero: any time
+}
+
+// stateOf is what the cache says of a job that does not wait for others.
+func (n *Node) stateOf(ref string) pipeline.State {
+	if f, ok := n.final[ref]; ok {
+		return finalState(f.state)
+	}
+	if j := n.jobs[ref]; j != nil && j.rec != nil {
+		return finalState(j.rec.State)
+	}
+	return pipeline.Unknown
+}
+
+func finalState(state string) pipeline.State {
+	switch state {
+	case protocol.Done:
+		return pipeline.Done
+	case protocol.Cancelled:
+		return pipeline.Cancelled
+	}
+	return pipeline.Unfinished
+}
+
+// storeHeld takes a version of a job's record into the graph, and tells whether that is
+// all: a job that waits is nowhere else.
+func (n *Node) storeHeld(ref string, r *ledger.Job, stamp uint64) bool {
+	if r.State != ledger.Held {
+		n.pipelines.graph.Seen(ref, finalState(r.State), time.Now())
+		return false
+	}
+	if r.Spec == nil {
+		n.log.Error("held job without a description", "job", ref)
+		return true
+	}
+	n.pipelines.graph.Hold(pipeline.Job{Ref: ref, Needs: r.Needs, Spec: r.Spec, Born: time.UnixMilli(r.Born), Revision: stamp}, time.Now())
+	return true
+}
+
+// heldAnswer is what the cache says of a job that waits for others.
+func (n *Node) heldAnswer(ref string) (a protocol.JobAnswer, stamp uint64, final, held bool) {
+	w, held := n.pipelines.graph.Get(ref)
+	if !held {
+		return a, 0, false, false
+	}
+	a = protocol.JobAnswer{Ref: ref, Phase: protocol.Pending}
+	if n.pipelines.graph.IsCancelled(ref) {
+		a.Phase, final = protocol.Cancelled, true
+	}
+	return a, w.Revision, final, true
+}
+
+// undecided tells that a job waits, and that a cancellation this node has not read of
+// yet could have cancelled it: its own record does not show that.
+func (n *Node) undecided(ref string) bool {
+	g := n.pipelines.graph
+	_, held := g.Get(ref)
+	return held && !g.IsReady(ref) && !g.IsCancelled(ref)
+}
+
+// tellWhenRead answers once the watch has come to a revision that the state service had
+// after the question came in: a linearizable read of all the jobs before this one.
+func (n *Node) tellWhenRead(ref string, revision uint64, until time.Time, reply func(transport.Response)) {
+	if revision == 0 {
+		reply(unavailable(1))
+		return
+	}
+	n.untold = append(n.untold, untold{revision, until, func(read bool) {
+		if !read {
+			reply(unavailable(1))
+			return
+		}
+		n.tell(ref, 200, time.Until(until), reply)
+	}})
+	n.tellUntold(time.Now())
+}
+
+// allUnderstandPipelines tells whether every live controller knows held jobs. One that
+// does not would start what it accepts at once.
+func (n *Node) allUnderstandPipelines() bool {
+	for _, seen := range n.nodes {
+		if seen.waits < understandsPipelines {
+			return false
+		}
+	}
+	return len(n.nodes) > 0
+}
+
+// acceptWaiting accepts a job that names others, once it is certain that each of those
+// was accepted.
+func (n *Node) acceptWaiting(spec *protocol.Submission, until time.Time, reply func(transport.Response)) {
+	if !n.allUnderstandPipelines() || time.Until(until) < 200*time.Millisecond {
+		reply(unavailable(1))
+		return
+	}
+	if missing := n.notRead(spec.Awaits); len(missing) > 0 {
+		n.proveNeeds(spec, missing, until, reply)
+		return
+	}
+	left, cancelled := n.pipelines.graph.Outlook(spec.Awaits)
+	own := *spec
+	own.Awaits = nil
+	now := time.Now()
+	switch {
+	case cancelled:
+		n.record(own.Ref, &ledger.Job{State: protocol.Cancelled, Tasks: own.Tasks, Ended: now.UnixMilli()}, newClaim{}, reply)
+	case len(left) > 0:
+		n.record(own.Ref, &ledger.Job{State: ledger.Held, Spec: &own, Needs: left, Born: now.UnixMilli()}, newClaim{}, reply)
+	default:
+		n.accept(&own, reply)
+	}
+}
+
+// notRead lists those jobs of which the cache has no record. A job's record is never
+// dropped, so a cached one proves for ever that the job was accepted.
+func (n *Node) notRead(refs []string) (missing []string) {
+	for _, ref := range refs {
+		if _, _, _, known := n.answerOf(ref); !known {
+			missing = append(missing, ref)
+		}
+	}
+	return missing
+}
+
+// provedAtOnce bounds the conditions of one question whether jobs exist. It fits the
+// lowest limits that the service can work with.
+const provedAtOnce = 12
+
+// proveNeeds asks the state service whether jobs were accepted of which the cache has no
+// record. That none of them was, and the job itself neither, is a 422; those that were
+// are in the cache afterwards.
+func (n *Node) proveNeeds(spec *protocol.Submission, missing []string, until time.Time, reply func(transport.Response)) {
+	missing = missing[:min(len(missing), provedAtOnce)]
+	conds := []ledger.Cond{{Key: ledger.JobKeys + spec.Ref, Stamp: 0}}
+	for _, ref := range missing {
+		conds = append(conds, ledger.Cond{Key: ledger.JobKeys + ref, Stamp: 0})
+	}
+	n.commit(ledger.PrioUser, conds, nil, time.Until(until), func(err error) {
+		switch {
+		case err == nil:
+			body, _ := json.Marshal(map[string]string{"error": "awaits names " + missing[0] + ", which was never accepted"})
+			reply(transport.Response{Status: 422, Body: body})
+		case !errors.Is(err, ledger.ErrConflict):
+			reply(n.later(ledger.PrioUser, time.Now()))
+		default:
+			if _, _, _, known := n.answerOf(spec.Ref); known {
+				n.confirm(spec.Ref, time.Until(until), func() { reply(unavailable(1)) }, reply)
+				return
+			}
+			n.acceptWaiting(spec, until, reply)
+		}
+	})
+}
+
+// releaseAfter releases the jobs for which the end of one, just committed here, was the
+// last that they needed. Nobody else knows of it yet.
+func (n *Node) releaseAfter(ref string, now time.Time) {
+	for _, w := range n.pipelines.graph.Ready() {
+		if w.Last == ref {
+			n.release(w.Job, now)
+		}
+	}
+}
+
+// tendPipelines works off the difference between what is decided of jobs that wait and
+// what is on record. Controllers do so by turns; the conditional write decides.
+func (n *Node) tendPipelines(now time.Time) {
+	if n.pipelines.graph.Len() == 0 || n.stateDown(now) {
+		return
+	}
+	turn := time.Duration(0)
+	for _, name := range n.liveNodes() {
+		if name == n.cfg.Node {
+			break
+		}
+		turn++
+	}
+	for _, w := range n.pipelines.graph.Ready() {
+		if now.Sub(w.Since) >= releaseFirst+turn*releaseTurn {
+			n.release(w.Job, now)
+		}
+	}
+	for _, w := range n.pipelines.graph.CancelledJobs() {
+		if now.Sub(w.Since) >= tidyFirst+turn*tidyTurn {
+			n.recordCancelled(w.Job, w.Since)
+		}
+	}
+	n.readNeeds()
+}
+
+// release lets a job into the queues all of whose needed jobs are done. They are done in
+// the records, for ever, so the job's own revision is the only condition. The claim goes
+// with it if this node can make it at once.
+func (n *Node) release(w pipeline.Job, now time.Time) {
+	if n.pipelines.releasing[w.Ref] || len(n.pipelines.releasing) >= mostReleasing || len(n.types) == 0 {
+		return
+	}
+	at := n.chooseShards(w.Spec, now)
+	rec := &ledger.Job{Spec: w.Spec, At: at, Born: w.Born.UnixMilli(), Released: now.UnixMilli(), Size: n.chunkSize(w.Spec, at)}
+	raised := pipeline.Inherit(w.Spec, n.pipelines.graph.Urgency(w.Ref, n.estimate))
+	n.pipelines.releasing[w.Ref] = true
+	n.commitRelease(w, rec, n.claimNew(raised, at, now))
+}
+
+func (n *Node) commitRelease(w pipeline.Job, rec *ledger.Job, first newClaim) {
+	key := ledger.JobKeys + w.Ref
+	conds := append([]ledger.Cond{{Key: key, Stamp: w.Revision}}, first.conds...)
+	ops := append([]ledger.Op{{Key: key, Value: rec}}, first.ops()...)
+	for _, name := range rec.At {
+		n.queuedNow[name] += w.Spec.CPUs * float64(w.Spec.Tasks)
+	}
+	n.commit(ledger.PrioClaim, conds, ops, submitWithin, func(err error) {
+		first.finish(n, err)
+		if err == nil {
+			n.log.Debug("job released", "job", w.Ref, "class", w.Spec.Class, "at", rec.At, "claimed", first.claim != nil)
+			n.announce(key)
+		} else if errors.Is(err, ledger.ErrConflict) && first.claim != nil {
+			if still, held := n.pipelines.graph.Get(w.Ref); held && still.Revision == w.Revision {
+				n.commitRelease(w, rec, newClaim{}) // only the claim failed
+				return
+			}
+		}
+		delete(n.pipelines.releasing, w.Ref)
+	})
+}
+
+// recordCancelled writes down that a job is cancelled because one before it is. Its
+// users have been told so already.
+func (n *Node) recordCancelled(w pipeline.Job, since time.Time) {
+	if n.pipelines.releasing[w.Ref] || n.pipelines.tidying >= mostTidying {
+		return
+	}
+	n.pipelines.releasing[w.Ref] = true
+	n.pipelines.tidying++
+	key := ledger.JobKeys + w.Ref
+	rec := &ledger.Job{State: protocol.Cancelled, Tasks: w.Spec.Tasks, Ended: since.UnixMilli()}
+	n.commit(ledger.PrioRest, []ledger.Cond{{Key: key, Stamp: w.Revision}}, []ledger.Op{{Key: key, Value: rec}}, 10*time.Second, func(error) {
+		delete(n.pipelines.releasing, w.Ref)
+		n.pipelines.tidying--
+	})
+}
+
+// readNeeds reads the records of needed jobs that this node has forgotten: it keeps a
+// bounded number of those that are over.
+func (n *Node) readNeeds() {
+	refs := n.pipelines.graph.UnknownNeeds()
+	if len(refs) == 0 || n.pipelines.looking {
+		return
+	}
+	refs = refs[:min(len(refs), lookUpsAtOnce)]
+	n.pipelines.looking = true
+	life := n.ctx
+	go func() {
+		for _, ref := range refs {
+			ctx, cancel := context.WithTimeout(life, lookUpWithin)
+			it, err := n.led.Get(ctx, ledger.JobKeys+ref)
+			cancel()
+			if err != nil {
+				break
+			}
+			n.mu.Lock()
+			if n.stateOf(ref) == pipeline.Unknown {
+				delete(n.stamps, it.Key)
+				n.take(it)
+			}
+			n.mu.Unlock()
+		}
+		n.mu.Lock()
+		n.pipelines.looking = false
+		n.mu.Unlock()
+	}()
+}
+
+// passRanksOn gives the jobs that others need the rank and the time of those, and takes
+// them back where nobody needs them any more.
+func (n *Node) passRanksOn(now time.Time) {
+	p := &n.pipelines
+	if p.ranked == p.graph.Changes() && (len(p.raised) == 0 || now.Sub(p.rankedAt) < rankEvery) {
+		return
+	}
+	p.ranked, p.rankedAt = p.graph.Changes(), now
+	p.graph.Forget()
+	for _, ref := range p.graph.Needed() {
+		if j := n.jobs[ref]; j != nil && j.rec != nil {
+			p.raised[ref] = j
+		}
+	}
+	for ref, j := range p.raised {
+		n.inherit(j)
+		if n.jobs[ref] != j || (j.heir == inheritance{}) {
+			delete(p.raised, ref)
+		}
+	}
+}
+
+// inherit works out what an open job has from those that need it.
+func (n *Node) inherit(j *job) {
+	g := n.pipelines.graph
+	if j.rec.Final() || j.rec.Spec == nil || (g.Dependents(j.ref) == 0 && j.heir == inheritance{}) {
+		return
+	}
+	before := j.spec()
+	u := g.Urgency(j.ref, n.estimate)
+	j.heir.by = u.By
+	switch raised := pipeline.Inherit(j.rec.Spec, u); {
+	case raised == j.rec.Spec:
+		j.heir.of, j.heir.spec = nil, nil
+	case j.heir.of == j.rec.Spec && j.heir.spec.Rank == raised.Rank:
+		return
+	default:
+		j.heir.of, j.heir.spec = j.rec.Spec, raised
+	}
+	if j.spec() == before {
+		return
+	}
+	n.log.Debug("rank inherited", "job", j.ref, "rank", j.spec().Rank)
+	for _, c := range j.claims {
+		n.setSpec(c, j.spec())
+		n.mark(c)
+	}
+	n.hungry[j.ref] = j
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -96,11 +96,11 @@
 			if c == nil {
 				fed = false
 				if now.After(j.lost[i]) {
-					q = append(q, &unit{j: j, chunk: i, spec: j.rec.Spec, trial: trial})
+					q = append(q, &unit{j: j, chunk: i, spec: j.spec(), trial: trial})
 				}
 				continue
 			}
-			u := &unit{j: j, c: c, chunk: i, spec: j.rec.Spec, trial: trial}
+			u := &unit{j: j, c: c, chunk: i, spec: j.spec(), trial: trial}
 			if c.pend == nil && u.waiting() == 0 {
 				continue
 			}
@@ -140,7 +140,7 @@
 	some := false
 	for _, u := range q {
 		u.ahead = u.spec.Shape == protocol.Array && !isIdle(u.spec) && u.chunk == 0 && !u.trial &&
-			begin.Ahead(now.Sub(time.UnixMilli(u.j.rec.Born)), n.pol.BeginBy, len(u.j.claims) > 0)
+			begin.Ahead(now.Sub(u.j.queuedAt()), n.pol.BeginBy, len(u.j.claims) > 0)
 		some = some || u.ahead
 	}
 	if some {
@@ -425,6 +425,11 @@
 			best = at
 		}
 	}
+	if by := u.j.heir.by; !by.IsZero() {
+		if at := by.Add(-n.estimate(u.spec)); at.After(soonest) && (best.IsZero() || at.Before(best)) {
+			best = at
+		}
+	}
 	if !best.IsZero() {
 		return best
 	}
@@ -468,7 +473,7 @@
 		return u.j.seen.Add(o.Within - n.estimate(u.spec)), true
 	case o.Kind == "deadline" && o.Class == u.spec.Class && u.spec.Due() > 0:
 		due := time.Duration(float64(u.spec.Due()) * max(o.Times, 1))
-		return u.j.seen.Add(due - n.estimate(u.spec)), true
+		return u.j.submitted().Add(due - n.estimate(u.spec)), true
 	}
 	return time.Time{}, false
 }
@@ -595,7 +600,7 @@
 		open[p.Task] = true
 	}
 	est := n.estimate(u.spec)
-	most := n.cfg.StateLimit.MaxOpen() - len(open)
+	most := n.cfg.RecordLimits().MaxOpen() - len(open)
 	if u.ahead || (u.trial && u.spec.Shape != protocol.Gang) {
 		most = min(most, 1)
 	}
@@ -606,6 +611,7 @@
 		most = min(most, n.allowanceIn(holder, u.spec)+n.bookable(u.c))
 	}
 	var picks []pick
+	left := n.cfg.RecordLimits().ValueBytes - rec.Bytes()
 	for t := rec.First; t < rec.First+rec.Count && len(picks) < most; t++ {
 		if open[t] || rec.IsDone(t) {
 			continue
@@ -614,6 +620,10 @@
 		if i < 0 {
 			break
 		}
+		next := ledger.Placement{Task: t, Try: rec.Try + 1, Host: rooms[i].host}
+		if left -= next.Bytes(); left < 0 {
+			break
+		}
 		rooms[i].take(u.spec)
 		rooms[i].coming = u.spec.Image
 		z.add(u.spec, rooms[i].zone)
@@ -667,6 +677,34 @@
 	return conds, ops, true
 }
 
+// newClaim is the claim on a job that is just being let into the queues, made in the same
+// transaction; empty where there is none.
+type newClaim struct {
+	claim *claim
+	shard *shard
+	conds []ledger.Cond
+}
+
+// claimNew makes the claim of a job that is just being accepted or released, if it can.
+func (n *Node) claimNew(spec *protocol.Submission, at []string, now time.Time) newClaim {
+	c, s, conds := n.claimAtOnce(spec, at, now)
+	return newClaim{c, s, conds}
+}
+
+func (f newClaim) ops() []ledger.Op {
+	if f.claim == nil {
+		return nil
+	}
+	return []ledger.Op{{Key: f.claim.key, Value: f.claim.pend}}
+}
+
+// finish ends the claim's commit.
+func (f newClaim) finish(n *Node, err error) {
+	if f.claim != nil {
+		n.finishClaim(f.shard, f.claim, err)
+	}
+}
+
 // claimAtOnce prepares the claim of a job that is just being accepted, if this
 // node owns one of its shards and that has room for all that must start
 // together.
@@ -753,7 +791,7 @@
 	for _, r := range rooms {
 		for _, ref := range refs {
 			if k := n.plans[ref].hosts[r.host]; k > 0 && r.reservedFor == "" {
-				r.hold(n.jobs[ref].rec.Spec, ref, k, now.Add(time.Second))
+				r.hold(n.jobs[ref].spec(), ref, k, now.Add(time.Second))
 			}
 		}
 	}
--- a/internal/coordination/settle.go
+++ b/internal/coordination/settle.go
@@ -57,6 +57,7 @@
 
 func (n *Node) pass(now time.Time) {
 	n.expirePlans(now)
+	n.passRanksOn(now)
 	for _, name := range n.shardNames() {
 		s := n.shards[name]
 		if !n.active(s) {
@@ -392,6 +393,11 @@
 
 // update commits a new version of a claim that this shard holds.
 func (n *Node) update(s *shard, c *claim, next *ledger.Claim, prio int, then func(error)) bool {
+	if next.Bytes() > n.led.ValueBytes() {
+		// Written before the state service lowered its limits. Each task that ends makes
+		// it smaller; until it fits, its workers go on listing what has ended.
+		return false
+	}
 	conds, ops, t, ok := n.reserveTeam(s.name, c, next)
 	if !ok {
 		return false
@@ -429,11 +435,14 @@
 	conds := []ledger.Cond{{Key: ledger.JobKeys + j.ref, Stamp: j.stamp}, {Key: ledger.ShardKeys + s.name, Stamp: s.token}}
 	for i := range j.chunks {
 		o := j.claims[i]
-		if o == nil || o.rec == nil || (o != c && (!o.rec.Full() || o.pend != nil)) {
+		if o == nil || o.rec == nil || (o != c && !o.rec.Full()) {
 			return false
 		}
-		conds = append(conds, ledger.Cond{Key: o.key, Stamp: o.stamp})
 	}
+	// The other chunks are no conditions: what is recorded as done stays done, and a
+	// claim goes only once its job is over, which the job's own condition excludes.
+	// Two dozen of them did not fit a transaction of a state service with lower limits.
+	conds = append(conds, ledger.Cond{Key: c.key, Stamp: c.stamp})
 	done := &ledger.Job{State: protocol.Done, Tasks: j.rec.Spec.Tasks}
 	tconds, ops, t, ok := n.reserveTeam(s.name, c, next)
 	if !ok {
@@ -464,6 +473,7 @@
 			return
 		}
 		n.announceFinal(j.ref)
+		n.releaseAfter(j.ref, time.Now())
 	})
 	return true
 }
--- a/internal/coordination/shards.go
+++ b/internal/coordination/shards.go
@@ -145,6 +145,7 @@
 			}
 			n.tendLead()
 			n.tendLimits(now)
+			n.tendPipelines(now)
 		}
 		n.mu.Unlock()
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -77,6 +77,9 @@
 		}
 		return a, f.stamp, true, true
 	}
+	if held, stamp, final, waits := n.heldAnswer(ref); waits {
+		return held, stamp, final, true
+	}
 	j := n.jobs[ref]
 	if j == nil || j.rec == nil {
 		return a, 0, false, false
@@ -167,8 +170,10 @@
 		reply(unavailable(int(asked.ComeBack(n.rng.Float64()) / time.Second)))
 		return
 	}
-	n.commit(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error) {
+	n.commitAt(ledger.PrioUser, []ledger.Cond{{Key: ledger.JobKeys + ref, Stamp: stamp}}, nil, within, func(err error, revision uint64) {
 		switch {
+		case err == nil && n.undecided(ref):
+			n.tellWhenRead(ref, revision, until, reply)
 		case err == nil:
 			// The cache may have moved on meanwhile, and is at least as new.
 			if _, _, _, found := n.answerOf(ref); found {
@@ -182,6 +187,10 @@
 				reply(unavailable(1))
 				return
 			}
+			if n.undecided(ref) { // once: a held job's record is written once
+				n.confirm(ref, time.Until(until), absent, reply)
+				return
+			}
 			n.tell(ref, 200, time.Until(until), reply)
 		default:
 			reply(n.later(ledger.PrioUser, time.Now()))
@@ -227,6 +236,10 @@
 		n.confirm(ref, submitWithin, func() { reply(transport.Response{Status: 422, Body: b}) }, reply)
 		return
 	}
+	if len(spec.Awaits) > 0 {
+		n.acceptWaiting(spec, time.Now().Add(submitWithin), reply)
+		return
+	}
 	n.accept(spec, reply)
 }
 
@@ -272,38 +285,39 @@
 	}
 	at := n.chooseShards(spec, now)
 	rec := &ledger.Job{Spec: spec, At: at, Born: now.UnixMilli(), Size: n.chunkSize(spec, at)}
-	key := ledger.JobKeys + spec.Ref
-	conds := []ledger.Cond{{Key: key, Stamp: 0}}
-	ops := []ledger.Op{{Key: key, Value: rec}}
-	c, s, extra := n.claimAtOnce(spec, at, now)
-	if c != nil {
-		conds = append(conds, extra...)
-		ops = append(ops, ledger.Op{Key: c.key, Value: c.pend})
-	}
+	first := n.claimNew(spec, at, now)
 	for _, name := range at {
 		n.queuedNow[name] += spec.CPUs * float64(spec.Tasks)
 	}
-	until := now.Add(submitWithin)
+	n.record(spec.Ref, rec, first, reply)
+}
+
+// record writes down that a job is accepted, with the claim on it if there is one.
+func (n *Node) record(ref string, rec *ledger.Job, first newClaim, reply func(transport.Response)) {
+	until := time.Now().Add(submitWithin)
+	key := ledger.JobKeys + ref
+	conds := append([]ledger.Cond{{Key: key, Stamp: 0}}, first.conds...)
+	ops := append([]ledger.Op{{Key: key, Value: rec}}, first.ops()...)
 	n.commit(ledger.PrioUser, conds, ops, submitWithin, func(err error) {
-		if c != nil {
-			n.finishClaim(s, c, err)
-		}
+		first.finish(n, err)
 		switch {
 		case err == nil:
-			n.log.Debug("job accepted", "job", spec.Ref, "class", spec.Class, "tasks", spec.Tasks, "image", spec.Image, "at", at, "claimed", c != nil)
-			n.tell(spec.Ref, 201, time.Until(until), reply)
-			n.announce(key)
+			n.log.Debug("job accepted", "job", ref, "at", rec.At, "needs", len(rec.Needs), "claimed", first.claim != nil)
+			n.tell(ref, 201, time.Until(until), reply)
+			n.announceNew(key, rec)
+		case errors.Is(err, ledger.ErrTooLarge):
+			reply(badRequest(errors.New("the job's record is larger than the state service takes")))
 		case errors.Is(err, ledger.ErrConflict):
-			if _, _, final, known := n.answerOf(spec.Ref); known {
+			if _, _, final, known := n.answerOf(ref); known {
 				if final {
-					n.tell(spec.Ref, 200, time.Until(until), reply)
+					n.tell(ref, 200, time.Until(until), reply)
 				} else {
-					n.confirm(spec.Ref, submitWithin/2, func() { reply(unavailable(1)) }, reply)
+					n.confirm(ref, submitWithin/2, func() { reply(unavailable(1)) }, reply)
 				}
 				return
 			}
-			if c != nil {
-				n.acceptPlain(key, rec, reply) // only the claim failed
+			if first.claim != nil {
+				n.recordPlain(key, rec, reply) // only the claim failed
 				return
 			}
 			reply(n.later(ledger.PrioUser, time.Now()))
@@ -313,7 +327,7 @@
 	})
 }
 
-func (n *Node) acceptPlain(key string, rec *ledger.Job, reply func(transport.Response)) {
+func (n *Node) recordPlain(key string, rec *ledger.Job, reply func(transport.Response)) {
 	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: 0}}, []ledger.Op{{Key: key, Value: rec}}, submitWithin/2, func(err error) {
 		if err != nil {
 			reply(n.later(ledger.PrioUser, time.Now()))
@@ -360,10 +374,9 @@
 		})
 		return
 	}
-	rec := *n.jobs[ref].rec
-	rec.State, rec.Tasks, rec.Ended = protocol.Cancelled, rec.Spec.Tasks, time.Now().UnixMilli()
+	rec := n.cancelledRecord(ref, time.Now())
 	key := ledger.JobKeys + ref
-	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: stamp}}, []ledger.Op{{Key: key, Value: &rec}}, left, func(err error) {
+	n.commit(ledger.PrioUser, []ledger.Cond{{Key: key, Stamp: stamp}}, []ledger.Op{{Key: key, Value: rec}}, left, func(err error) {
 		switch {
 		case err == nil:
 			n.announce(key)
@@ -380,6 +393,17 @@
 	})
 }
 
+// cancelledRecord is a known job's record once its user has cancelled it. One that waits
+// for others has no tasks, so nobody needs its description any more.
+func (n *Node) cancelledRecord(ref string, now time.Time) *ledger.Job {
+	if w, held := n.pipelines.graph.Get(ref); held {
+		return &ledger.Job{State: protocol.Cancelled, Tasks: w.Spec.Tasks, Ended: now.UnixMilli()}
+	}
+	rec := *n.jobs[ref].rec
+	rec.State, rec.Tasks, rec.Ended = protocol.Cancelled, rec.Spec.Tasks, now.UnixMilli()
+	return &rec
+}
+
 // chooseShards picks the K least-loaded shards for a job. A shard counts as
 // loaded by what runs, what waits there, and what this node has queued there
 // since the shard's latest figure, so that a burst spreads. A shard with room
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -29,8 +29,29 @@
 	pause  time.Time            // no start before this: a worker has not heard of it yet
 	lost   map[int]time.Time    // chunks left to another shard until then
 	keys   []string             // of its claims, by chunk; made when first asked for
+	heir   inheritance          // what it has from the jobs that need it
 }
 
+// spec is the job's description, with the rank that counts now.
+func (j *job) spec() *protocol.Submission {
+	if j.heir.spec != nil {
+		return j.heir.spec
+	}
+	return j.rec.Spec
+}
+
+// submitted is when the job was accepted: deadlines count from then, also those of a job
+// that waited for others first.
+func (j *job) submitted() time.Time {
+	if j.rec.Released != 0 {
+		return time.UnixMilli(j.rec.Born)
+	}
+	return j.seen
+}
+
+// queuedAt is when the job was let into the queues.
+func (j *job) queuedAt() time.Time { return time.UnixMilli(max(j.rec.Born, j.rec.Released)) }
+
 // key is the key of a chunk's claim. Each pass over a queue asks for it, and
 // putting it together anew every time was a tenth of a pass.
 func (j *job) key(chunk int) string {
@@ -211,6 +232,9 @@
 	if r == nil {
 		return // job records are kept for ever
 	}
+	if n.storeHeld(ref, r, stamp) {
+		return
+	}
 	if j == nil {
 		if r.Final() && !n.hasClaims(ref) && !n.mayHaveClaims(r, stamp) {
 			n.remember(ref, r, stamp)
@@ -252,8 +276,9 @@
 		delete(n.orphans[ref], key)
 	}
 	delete(n.orphans, ref)
+	n.inherit(j)
 	for _, c := range j.claims {
-		n.setSpec(c, r.Spec)
+		n.setSpec(c, j.spec())
 		n.mark(c)
 	}
 	n.forgetIfOver(j)
@@ -263,7 +288,7 @@
 
 func (n *Node) attach(j *job, c *claim) {
 	j.claims[c.chunk] = c
-	n.setSpec(c, j.rec.Spec)
+	n.setSpec(c, j.spec())
 }
 
 // setSpec gives a claim its job's description. The record of a job that is over may have
@@ -421,13 +446,13 @@
 	for _, name := range at {
 		cpus = min(cpus, n.loads[name].load.CPUs)
 	}
-	small := n.cfg.StateLimit.MaxOpen()
+	small := n.cfg.RecordLimits().MaxOpen()
 	if s.CPUs > 0 {
 		small = int(min(float64(small), cpus/4/s.CPUs))
 	}
 	// A chunk has no more placements at a time than fit a value: 25,000 tasks of 4 s in
 	// two chunks took longer than 400 s beside free room.
-	parts := min(max(1, n.pol.Copies, (s.Tasks-1)/(wavesOfChunk*n.cfg.StateLimit.MaxOpen())+1), maxChunks)
+	parts := min(max(1, n.pol.Copies, (s.Tasks-1)/(wavesOfChunk*n.cfg.RecordLimits().MaxOpen())+1), maxChunks)
 	return min(s.Tasks, max(n.pol.ChunkTasks, (s.Tasks+parts-1)/parts, small))
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -249,7 +249,7 @@
 func (n *Node) specOf(task string) *protocol.Submission {
 	ref, _, ok := protocol.SplitTask(task)
 	if j := n.jobs[ref]; ok && j != nil && j.rec != nil {
-		return j.rec.Spec
+		return j.spec()
 	}
 	return nil
 }
@@ -543,7 +543,7 @@
 			ops = append(ops, ledger.Op{Key: ledger.HireKeys + h.name, Value: &again})
 		}
 	}
-	if len(ops) > n.cfg.StateLimit.TxnOps {
+	if len(ops) > n.cfg.RecordLimits().TxnOps {
 		for _, host := range hosts {
 			delete(n.unknown, host) // until fewer hires are without an answer
 		}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -29,6 +29,7 @@
 	ErrInvalid  = errors.New("refused as malformed")
 	ErrTooOld   = errors.New("watch fell behind")
 	ErrNoGrant  = errors.New("lease is gone")
+	ErrTooLarge = fmt.Errorf("%w: larger than the state service takes", ErrInvalid)
 )
 
 // Caller makes one HTTP call.
@@ -47,7 +48,7 @@
 type Client struct {
 	caller Caller
 	addr   string
-	lim    protocol.StateLimits
+	lim    *limits
 	log    *slog.Logger
 	reqs   *rate.Limiter
 	writes *rate.Limiter
@@ -66,7 +67,7 @@
 
 // New makes a client; Run must be called for transactions to be sent.
 func New(caller Caller, addr string, lim protocol.StateLimits, log *slog.Logger) *Client {
-	return &Client{caller: caller, addr: addr, lim: lim, log: log,
+	return &Client{caller: caller, addr: addr, lim: newLimits(lim), log: log,
 		reqs:   rate.NewLimiter(rate.Limit(lim.RPS/2), max(4, int(lim.RPS/8))),
 		writes: rate.NewLimiter(rate.Limit(lim.WriteRPS/2), max(minBurst, int(lim.WriteRPS/3))),
 		kick:   make(chan struct{}, 1),
@@ -76,16 +77,24 @@
 // minBurst is the most that one transaction changes, with a margin.
 const minBurst = 8
 
+// Expect tells which limits the state service will have from some moment on. It is
+// called before Run.
+func (c *Client) Expect(next protocol.StateLimits) { c.lim.expect(next) }
+
 // Share sets this node's part of the budgets, from 0 to 1. A tenth stays unused for
 // lease renewals, which do not wait for the budget.
 func (c *Client) Share(part float64) {
 	part *= 0.9
-	c.reqs.SetLimit(rate.Limit(c.lim.RPS * part))
-	c.writes.SetLimit(rate.Limit(c.lim.WriteRPS * part))
-	c.reqs.SetBurst(max(4, int(c.lim.RPS*part/2)))
-	c.writes.SetBurst(max(minBurst, int(c.lim.WriteRPS*part)))
+	requests, changes := c.lim.sizes().RPS, c.lim.writeRate(time.Now())
+	c.reqs.SetLimit(rate.Limit(requests * part))
+	c.writes.SetLimit(rate.Limit(changes * part))
+	c.reqs.SetBurst(max(4, int(requests*part/2)))
+	c.writes.SetBurst(max(minBurst, int(changes*part)))
 }
 
+// ValueBytes is how large a record may be, as far as is known.
+func (c *Client) ValueBytes() int { return c.lim.sizes().ValueBytes }
+
 // LastOK is when the state service last executed a call of this node.
 func (c *Client) LastOK() time.Time { return time.Unix(0, c.lastOK.Load()) }
 
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -74,11 +74,12 @@
 	Deadline time.Time
 	Done     func(Result)
 
-	raw    []wireOp
-	since  time.Time
-	size   int
-	alone  bool // was part of a batch refused as malformed
-	unsure bool // an earlier sending got no answer
+	raw     []wireOp
+	since   time.Time
+	size    int
+	largest int  // bytes of its largest value
+	alone   bool // was part of a batch refused as malformed
+	unsure  bool // an earlier sending got no answer
 }
 
 // Result tells what became of a transaction. After ErrConflict or ErrUnknown
@@ -108,11 +109,12 @@
 			w.Drop = root + op.Key
 		} else {
 			raw, err := protocol.Encode(op.Value)
-			if err != nil || len(raw) > c.lim.ValueBytes {
-				c.log.Error("record cannot be written", "key", op.Key, "bytes", len(raw), "err", err)
+			if err != nil {
+				c.log.Error("record cannot be written", "key", op.Key, "err", err)
 				go t.Done(Result{Err: ErrInvalid})
 				return
 			}
+			t.largest = max(t.largest, len(raw))
 			w.Set, w.Value, w.Permit = root+op.Key, raw, op.Grant
 		}
 		t.size += len(w.Value) + len(op.Key) + 48
@@ -121,6 +123,11 @@
 	for _, cond := range t.Conds {
 		t.size += len(cond.Key) + 48
 	}
+	if !t.fitsIn(c.lim.sizes()) {
+		c.log.Info("transaction is larger than the state service takes", "keys", keysOf(t), "changes", len(t.Ops), "bytes", t.largest)
+		go t.Done(Result{Err: ErrTooLarge})
+		return
+	}
 	t.since = time.Now()
 	c.queue(t)
 	c.poke()
@@ -249,7 +256,7 @@
 		// Comparisons alone, for users' polls, cost a request each time and
 		// no change: many go together, even if they wait a moment for that.
 		age := now.Sub(oldest)
-		due := (age >= pollGather || reads >= 2*c.lim.TxnOps) && c.reading < maxReading
+		due := (age >= pollGather || reads >= 2*c.lim.sizes().TxnOps) && c.reading < maxReading
 		// By turns with changes: users who ask many times as often as usual would take
 		// every request, and acceptance and claims would wait behind their questions.
 		if due && !c.readLast {
@@ -303,7 +310,7 @@
 			waiting++
 		}
 	}
-	return waiting, float64(c.reqs.Limit()) / 2 * float64(4*c.lim.TxnOps)
+	return waiting, float64(c.reqs.Limit()) / 2 * float64(condsPerOp*c.lim.sizes().TxnOps)
 }
 
 func waitFor(missing float64, limit rate.Limit) time.Duration {
@@ -359,7 +366,7 @@
 			changes += len(t.Ops)
 		}
 	}
-	return changes + reads/max(1, c.lim.TxnOps), float64(c.writes.Limit())
+	return changes + reads/max(1, c.lim.sizes().TxnOps), float64(c.writes.Limit())
 }
 
 // Saw tells of a version of a key seen elsewhere. Transactions that wait and
@@ -408,6 +415,7 @@
 func (c *Client) pick(reads bool, budget float64, now time.Time) ([]*Txn, int) {
 	var batch, rest []*Txn
 	ops, size := 0, 0
+	most := c.lim.sizes().TxnOps
 	conds := make(map[string]uint64)
 	written := make(map[string]bool)
 	spent := false
@@ -415,7 +423,7 @@
 		// What lacks budget holds the less urgent up: small ones that slipped
 		// past would eat the budget for ever before it suffices for a large one.
 		spent = spent || (!reads && len(t.Ops) > 0 && float64(ops+len(t.Ops))+c.reserve(t, now) > budget)
-		if (len(t.Ops) == 0) != reads || spent || !c.fits(t, batch, ops, size, conds, written) {
+		if (len(t.Ops) == 0) != reads || spent || !fits(t, batch, most, ops, size, conds, written) {
 			rest = append(rest, t)
 			continue
 		}
@@ -439,14 +447,14 @@
 	return batch, ops
 }
 
-func (c *Client) fits(t *Txn, batch []*Txn, ops, size int, conds map[string]uint64, written map[string]bool) bool {
+func fits(t *Txn, batch []*Txn, most, ops, size int, conds map[string]uint64, written map[string]bool) bool {
 	if len(batch) == 0 {
 		return true
 	}
 	if t.alone || batch[0].alone {
 		return false
 	}
-	if ops+len(t.Ops) > c.lim.TxnOps || size+t.size > batchBytes {
+	if ops+len(t.Ops) > most || size+t.size > batchBytes {
 		return false
 	}
 	extra := 0
@@ -457,7 +465,7 @@
 			return false
 		}
 	}
-	if len(conds)+extra > 4*c.lim.TxnOps {
+	if len(conds)+extra > condsPerOp*most {
 		return false
 	}
 	for _, op := range t.Ops {
@@ -514,16 +522,11 @@
 	case status == 400 && out.Error == noSuchLease:
 		again = c.sortLeased(batch)
 	case status == 400:
-		if len(batch) == 1 {
-			c.log.Error("transaction refused as malformed", "reason", out.Error, "keys", keysOf(batch[0]))
-			batch[0].Done(Result{Err: ErrInvalid})
-			break
-		}
-		for _, t := range batch {
-			t.alone = true
-		}
-		again = batch
+		again = c.sortRefused(batch, out.Error)
 	case status == 429:
+		if len(batch[0].Ops) > 0 {
+			c.lim.tooMany(time.Now())
+		}
 		again, pause = batch, 60*time.Millisecond
 	default:
 		again, pause = batch, 200*time.Millisecond
@@ -568,6 +571,46 @@
 	return again
 }
 
+// fitsIn tells whether a transaction alone keeps limits.
+func (t *Txn) fitsIn(l protocol.StateLimits) bool {
+	return len(t.Ops) <= l.TxnOps && len(t.Conds) <= condsPerOp*l.TxnOps && t.largest <= l.ValueBytes
+}
+
+// sortRefused ends those of a batch that the state service does not take, and sends the
+// others again: in smaller batches if the service has lowered its limits, else one by
+// one. None is sent again as it was.
+func (c *Client) sortRefused(batch []*Txn, reason string) (again []*Txn) {
+	whole := &Txn{}
+	seen := make(map[string]bool)
+	for _, t := range batch {
+		whole.Ops, whole.largest = append(whole.Ops, t.Ops...), max(whole.largest, t.largest)
+		for _, cond := range t.Conds {
+			if !seen[cond.Key] {
+				seen[cond.Key] = true
+				whole.Conds = append(whole.Conds, cond)
+			}
+		}
+	}
+	if c.lim.proves(whole) {
+		c.log.Info("the state service has lowered its limits", "reason", reason, "changes", len(whole.Ops), "bytes", whole.largest)
+	}
+	now := c.lim.sizes()
+	fitted := whole.fitsIn(now)
+	for _, t := range batch {
+		switch {
+		case !t.fitsIn(now):
+			t.Done(Result{Err: ErrTooLarge})
+		case len(batch) == 1:
+			c.log.Error("transaction refused as malformed", "reason", reason, "keys", keysOf(t))
+			t.Done(Result{Err: ErrInvalid})
+		default:
+			t.alone = fitted
+			again = append(again, t)
+		}
+	}
+	return again
+}
+
 func keysOf(t *Txn) []string {
 	keys := make([]string, 0, len(t.Ops))
 	for _, op := range t.Ops {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/bits"
 	"slices"
 	"strconv"
@@ -45,12 +46,13 @@
 	Away  int64  `json:"w,omitempty"` // Unix milliseconds until which it is not handed back: its home gave it away
 }
 
-// Node marks a live controller. Version and Teams tell the others what it
-// understands and which limits it was given, for a restart one by one.
+// Node marks a live controller. Version, Teams and Pipelines tell the others what
+// it understands and which limits it was given, for a restart one by one.
 type Node struct {
-	Boot    int64  `json:"b"`
-	Version int    `json:"v,omitempty"` // 1: allots limits
-	Teams   uint64 `json:"q,omitempty"` // hash of its teams' limits
+	Boot      int64  `json:"b"`
+	Version   int    `json:"v,omitempty"` // 1: allots limits
+	Teams     uint64 `json:"q,omitempty"` // hash of its teams' limits
+	Pipelines int    `json:"p,omitempty"` // 1: understands jobs that wait for others
 }
 
 // Machine is a rented machine.
@@ -96,10 +98,21 @@
 	Tasks int                  `json:"n,omitempty"` // of a final job
 	Size  int                  `json:"k,omitempty"` // tasks in a chunk
 	Ended int64                `json:"e,omitempty"` // Unix milliseconds of its cancellation, from which the bound on its tasks counts
+	// Needs are the jobs that a held job waits for: those of its user's list that were
+	// not done when it was accepted.
+	Needs Refs `json:"w,omitempty"`
+	// Released is when a job that had waited for others was let into the queues, in
+	// Unix milliseconds.
+	Released int64 `json:"r,omitempty"`
 }
 
+// Held is the state of a job that waits for others. It is in no queue and has no
+// claim. Versions that do not know it take it for a final state: they start nothing
+// of the job and answer its users "pending", which it is.
+const Held = protocol.Pending
+
 // Final tells whether nothing can change any more.
-func (j *Job) Final() bool { return j.State != "" }
+func (j *Job) Final() bool { return j.State == protocol.Done || j.State == protocol.Cancelled }
 
 // Placement is a task that is, or may be, on a machine.
 type Placement struct {
@@ -236,6 +249,32 @@
 	return &d
 }
 
+// Bytes is how large a claim's record is at the most.
+func (c *Claim) Bytes() int {
+	size := claimFrame + len(c.Shard)
+	inside := false
+	for i := 0; i <= 8*len(c.Done); i++ {
+		if c.Done.has(i) != inside {
+			inside = !inside
+			size += digits(i) + 1
+		}
+	}
+	for i := range c.Open {
+		size += c.Open[i].Bytes()
+	}
+	return size
+}
+
+// Bytes is how much a placement adds to its claim's record.
+func (p *Placement) Bytes() int {
+	return len(`[,,""],`) + digits(p.Task) + digits(int(min(p.Try, math.MaxInt))) + len(p.Host)
+}
+
+// claimFrame bounds what a claim's record holds beside its lists and its shard.
+const claimFrame = 96
+
+func digits(i int) int { return len(strconv.Itoa(i)) }
+
 // Team is what a limited team has reserved: CPUs and GPUs by shard.
 type Team struct {
 	Use map[string][2]float64 `json:"u"`
--- a/internal/ledger/records_easyjson.go
+++ b/internal/ledger/records_easyjson.go
@@ -299,6 +299,18 @@
 			} else {
 				out.Ended = int64(in.Int64())
 			}
+		case "w":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Needs).UnmarshalEasyJSON(in)
+			}
+		case "r":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Released = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -388,6 +400,26 @@
 		}
 		out.Int64(int64(in.Ended))
 	}
+	if len(in.Needs) != 0 {
+		const prefix string = ",\"w\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.Needs).MarshalEasyJSON(out)
+	}
+	if in.Released != 0 {
+		const prefix string = ",\"r\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.Released))
+	}
 	out.RawByte('}')
 }
 
--- /dev/null
+++ b/internal/ledger/refs.go
@@ -0,0 +1,46 @@
+package ledger
+
+import (
+	"strings"
+
+	"github.com/mailru/easyjson/jlexer"
+	"github.com/mailru/easyjson/jwriter"
+)
+
+// refPrefix starts every job id; records leave it out of lists.
+const refPrefix = "wk-"
+
+// Refs is a list of job ids. In a record it is one string of their numbers, so that
+// some two hundred fit the smallest value.
+type Refs []string
+
+// MarshalEasyJSON writes the list.
+func (r Refs) MarshalEasyJSON(w *jwriter.Writer) {
+	numbers := make([]string, len(r))
+	for i, ref := range r {
+		numbers[i] = strings.TrimPrefix(ref, refPrefix)
+	}
+	w.String(strings.Join(numbers, " "))
+}
+
+// UnmarshalEasyJSON undoes MarshalEasyJSON.
+func (r *Refs) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	*r = nil
+	if l.IsNull() {
+		l.Skip()
+		return
+	}
+	for number := range strings.FieldsSeq(l.String()) {
+		if number[0] >= '0' && number[0] <= '9' {
+			number = refPrefix + number
+		}
+		*r = append(*r, number)
+	}
+}
+
+// MarshalJSON does the same for the standard library.
+func (r Refs) MarshalJSON() ([]byte, error) {
+	var w jwriter.Writer
+	r.MarshalEasyJSON(&w)
+	return w.BuildBytes()
+}
--- /dev/null
+++ b/internal/pipeline/graph.go
@@ -0,0 +1,258 @@
+// Package pipeline decides about jobs that wait for others: which of them may be
+// released, which are cancelled because a job before them is, and what rank and
+// deadline a job inherits from those that need it.
+//
+// A Graph is fed with the versions of job records in the order of their revisions. It
+// calls nobody, has no clock, and gives the same answers for the same records, so every
+// controller that has read as far decides alike. Its caller guards it.
+//
+// Two facts carry the argument. Done and cancelled are final in the records, so a job
+// whose needed jobs are all done stays releasable, and one with a cancelled job before
+// it stays cancelled. And a job is released only when all that it needs are done, so a
+// cancellation never reaches a job that has been released.
+package pipeline
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// State is what the records say of a job, as far as the jobs that need it are concerned.
+type State int
+
+// The states of a needed job.
+const (
+	Unknown    State = iota // no record of it has been read
+	Unfinished              // accepted, and neither done nor cancelled
+	Done
+	Cancelled
+)
+
+// Job is a job that waits for others, as its record has it.
+type Job struct {
+	Ref      string
+	Needs    []string
+	Spec     *protocol.Submission
+	Born     time.Time // its acceptance, from which its deadline counts
+	Revision uint64
+}
+
+// Graph holds the jobs that wait and whom each of them waits for.
+type Graph struct {
+	lookup     func(ref string) State
+	waiting    map[string]*node
+	dependents map[string]map[string]*node // by needed job, then by the job that needs it
+	unknown    map[string]struct{}         // needed jobs of which no record has been read
+	changes    uint64
+	urgency    map[string]Urgency // worked out since the latest change
+}
+
+// node is a waiting job.
+type node struct {
+	Job
+	left      map[string]struct{} // needed jobs that are not known to be done
+	cancelled bool
+	settled   time.Time // when the last needed job was seen done, or one of them cancelled
+	last      string    // the needed job that was the last to be done
+}
+
+// NewGraph makes an empty graph. lookup says what the records hold of a job that does
+// not wait itself.
+func NewGraph(lookup func(ref string) State) *Graph {
+	return &Graph{lookup: lookup, waiting: make(map[string]*node), dependents: make(map[string]map[string]*node),
+		unknown: make(map[string]struct{}), urgency: make(map[string]Urgency)}
+}
+
+// Changes counts what has changed: while it stays the same, so do all answers.
+func (g *Graph) Changes() uint64 { return g.changes }
+
+// Len is how many jobs wait.
+func (g *Graph) Len() int { return len(g.waiting) }
+
+// Get is a waiting job.
+func (g *Graph) Get(ref string) (Job, bool) {
+	if n := g.waiting[ref]; n != nil {
+		return n.Job, true
+	}
+	return Job{}, false
+}
+
+// IsCancelled tells whether a waiting job is cancelled because a job before it is.
+func (g *Graph) IsCancelled(ref string) bool {
+	n := g.waiting[ref]
+	return n != nil && n.cancelled
+}
+
+// IsReady tells whether all that a waiting job needs is done.
+func (g *Graph) IsReady(ref string) bool {
+	n := g.waiting[ref]
+	return n != nil && n.ready()
+}
+
+func (n *node) ready() bool { return len(n.left) == 0 && !n.cancelled }
+
+// Outlook is how a job that names others would stand: which of them are not done, and
+// whether one is cancelled.
+func (g *Graph) Outlook(needs []string) (left []string, cancelled bool) {
+	for _, ref := range needs {
+		switch g.stateOf(ref) {
+		case Done:
+		case Cancelled:
+			cancelled = true
+		default:
+			left = append(left, ref)
+		}
+	}
+	return left, cancelled
+}
+
+func (g *Graph) stateOf(ref string) State {
+	n := g.waiting[ref]
+	switch {
+	case n == nil:
+		return g.lookup(ref)
+	case n.cancelled:
+		return Cancelled
+	}
+	return Unfinished
+}
+
+// Hold takes the record of a job that waits. Such a record is written once; what is held
+// already is left as it is.
+func (g *Graph) Hold(j Job, now time.Time) {
+	if g.waiting[j.Ref] != nil {
+		return
+	}
+	n := &node{Job: j, left: make(map[string]struct{})}
+	g.waiting[j.Ref] = n
+	g.changed()
+	delete(g.unknown, j.Ref)
+	cancelled := false
+	for _, ref := range j.Needs {
+		switch g.stateOf(ref) {
+		case Done:
+			continue
+		case Cancelled:
+			cancelled = true
+		case Unknown:
+			g.unknown[ref] = struct{}{}
+		}
+		n.left[ref] = struct{}{}
+		if g.dependents[ref] == nil {
+			g.dependents[ref] = make(map[string]*node)
+		}
+		g.dependents[ref][j.Ref] = n
+	}
+	if len(n.left) == 0 {
+		n.settled = now
+	}
+	if cancelled {
+		g.cancel(n, now)
+	}
+}
+
+// Seen takes what a record says of a job that does not wait, or does not wait any more.
+func (g *Graph) Seen(ref string, state State, now time.Time) {
+	g.drop(ref)
+	if state != Unknown {
+		delete(g.unknown, ref)
+	}
+	needing := g.dependents[ref]
+	if len(needing) == 0 || (state != Done && state != Cancelled) {
+		return
+	}
+	g.changed()
+	if state == Cancelled {
+		for _, n := range needing {
+			g.cancel(n, now)
+		}
+		return
+	}
+	delete(g.dependents, ref)
+	for _, n := range needing {
+		delete(n.left, ref)
+		if n.ready() {
+			n.settled, n.last = now, ref
+		}
+	}
+}
+
+// cancel marks a job and all that need it, directly or through others.
+func (g *Graph) cancel(first *node, now time.Time) {
+	todo := []*node{first}
+	for len(todo) > 0 {
+		n := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		if n.cancelled {
+			continue
+		}
+		n.cancelled, n.settled = true, now
+		for _, next := range g.dependents[n.Ref] {
+			todo = append(todo, next)
+		}
+	}
+}
+
+// drop takes a job out that does not wait any more. Those that need it stay linked.
+func (g *Graph) drop(ref string) {
+	n := g.waiting[ref]
+	if n == nil {
+		return
+	}
+	g.changed()
+	delete(g.waiting, ref)
+	for need := range n.left {
+		delete(g.dependents[need], ref)
+		if len(g.dependents[need]) == 0 {
+			delete(g.dependents, need)
+			delete(g.unknown, need)
+		}
+	}
+}
+
+func (g *Graph) changed() {
+	g.changes++
+	clear(g.urgency)
+}
+
+// Settled is a waiting job whose fate is decided and not yet on record.
+type Settled struct {
+	Job
+	Since time.Time
+	Last  string // the job whose end decided it, as far as known
+}
+
+// Ready lists the jobs that may be released, in order.
+func (g *Graph) Ready() []Settled {
+	return g.list(func(n *node) bool { return n.ready() })
+}
+
+// CancelledJobs lists the waiting jobs that are cancelled because one before them is,
+// in order.
+func (g *Graph) CancelledJobs() []Settled {
+	return g.list(func(n *node) bool { return n.cancelled })
+}
+
+func (g *Graph) list(which func(*node) bool) []Settled {
+	var out []Settled
+	for _, n := range g.waiting {
+		if which(n) {
+			out = append(out, Settled{n.Job, n.settled, n.last})
+		}
+	}
+	slices.SortFunc(out, func(a, b Settled) int { return strings.Compare(a.Ref, b.Ref) })
+	return out
+}
+
+// UnknownNeeds lists the needed jobs of which no record has been read, in order.
+func (g *Graph) UnknownNeeds() []string { return slices.Sorted(maps.Keys(g.unknown)) }
+
+// Needed lists the jobs that others wait for, in order.
+func (g *Graph) Needed() []string { return slices.Sorted(maps.Keys(g.dependents)) }
+
+// Dependents counts the jobs that wait for a job directly.
+func (g *Graph) Dependents(ref string) int { return len(g.dependents[ref]) }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,23 +54,23 @@
 	SnapshotEveryS float64  `json:"snapshotEveryS,omitempty"`
 	SnapshotS      float64  `json:"snapshotS,omitempty"`
 	DueS           *float64 `json:"dueS,omitempty"`
+	// Awaits names the jobs that must be done before a task of this one starts. It is
+	// checked and without duplicates; a job's record keeps it apart from the description.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
+// ranks are spelled as on the wire, the lowest first.
+var ranks = []string{"idle", "normal", "high", "critical"}
+
 // Priority orders ranks: higher goes first. Unknown ranks give false.
 func Priority(rank string) (int, bool) {
-	switch rank {
-	case "critical":
-		return 3, true
-	case "high":
-		return 2, true
-	case "normal":
-		return 1, true
-	case "idle":
-		return 0, true
-	}
-	return 0, false
+	priority := slices.Index(ranks, rank)
+	return max(0, priority), priority >= 0
 }
 
+// RankOf is the rank of a priority.
+func RankOf(priority int) string { return ranks[min(max(0, priority), len(ranks)-1)] }
+
 // Expect is the owner's estimate of a task's run time.
 func (s *Submission) Expect() time.Duration { return Seconds(s.ExpectS) }
 
@@ -182,9 +183,27 @@
 			return nil, malformed("flavours")
 		}
 	}
+	if err := s.checkAwaits(); err != nil {
+		return nil, err
+	}
 	return &s, nil
 }
 
+// checkAwaits checks the jobs that a submission waits for and drops repeated names.
+func (s *Submission) checkAwaits() error {
+	for _, ref := range s.Awaits {
+		if !ValidRef(ref) {
+			return malformed("awaits names %q, which is no job id", ref)
+		}
+		if ref == s.Ref {
+			return malformed("awaits names the job itself")
+		}
+	}
+	slices.Sort(s.Awaits)
+	s.Awaits = slices.Compact(s.Awaits)
+	return nil
+}
+
 // JobAnswer is what users are told of a job.
 //
 //easyjson:json
--- a/internal/protocol/messages_easyjson.go
+++ b/internal/protocol/messages_easyjson.go
@@ -289,6 +289,33 @@
 					*out.DueS = float64(in.Float64())
 				}
 			}
+		case "awaits":
+			if in.IsNull() {
+				in.Skip()
+				out.Awaits = nil
+			} else {
+				in.Delim('[')
+				if out.Awaits == nil {
+					if !in.IsDelim(']') {
+						out.Awaits = make([]string, 0, 4)
+					} else {
+						out.Awaits = []string{}
+					}
+				} else {
+					out.Awaits = (out.Awaits)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v2 = string(in.String())
+					}
+					out.Awaits = append(out.Awaits, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -363,11 +390,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v2, v3 := range in.Types {
-				if v2 > 0 {
+			for v3, v4 := range in.Types {
+				if v3 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v3))
+				out.String(string(v4))
 			}
 			out.RawByte(']')
 		}
@@ -412,6 +439,20 @@
 		out.RawString(prefix)
 		out.Float64(float64(*in.DueS))
 	}
+	if len(in.Awaits) != 0 {
+		const prefix string = ",\"awaits\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v5, v6 := range in.Awaits {
+				if v5 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v6))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
@@ -474,13 +515,13 @@
 					out.Commands = (out.Commands)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 Command
+					var v7 Command
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v4).UnmarshalEasyJSON(in)
+						(v7).UnmarshalEasyJSON(in)
 					}
-					out.Commands = append(out.Commands, v4)
+					out.Commands = append(out.Commands, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -511,11 +552,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Commands {
-				if v5 > 0 {
+			for v8, v9 := range in.Commands {
+				if v8 > 0 {
 					out.RawByte(',')
 				}
-				(v6).MarshalEasyJSON(out)
+				(v9).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -638,13 +679,13 @@
 					out.Tasks = (out.Tasks)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v7 TaskReport
+					var v10 TaskReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v7).UnmarshalEasyJSON(in)
+						(v10).UnmarshalEasyJSON(in)
 					}
-					out.Tasks = append(out.Tasks, v7)
+					out.Tasks = append(out.Tasks, v10)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -719,11 +760,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v8, v9 := range in.Tasks {
-				if v8 > 0 {
+			for v11, v12 := range in.Tasks {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				(v9).MarshalEasyJSON(out)
+				(v12).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -894,13 +935,13 @@
 					out.Commands = (out.Commands)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v10 Command
+					var v13 Command
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v10).UnmarshalEasyJSON(in)
+						(v13).UnmarshalEasyJSON(in)
 					}
-					out.Commands = append(out.Commands, v10)
+					out.Commands = append(out.Commands, v13)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -936,11 +977,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v11, v12 := range in.Commands {
-				if v11 > 0 {
+			for v14, v15 := range in.Commands {
+				if v14 > 0 {
 					out.RawByte(',')
 				}
-				(v12).MarshalEasyJSON(out)
+				(v15).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -32,6 +32,9 @@
 	Objectives []Objective
 	Workers    WorkerSettings
 	StateLimit StateLimits
+	// StateNext are the limits that the state service will have from some moment on,
+	// without notice. What is 0 is not announced.
+	StateNext  StateLimits
 	CloudLimit CloudLimits
 	Machine    MachineLimits
 	PolicyFile string
@@ -69,8 +72,38 @@
 }
 
 // MaxOpen is how many placements of one claim fit a value, with room for the
-// rest of the record.
-func (l StateLimits) MaxOpen() int { return max(1, (l.ValueBytes-1024)/36) }
+// rest of the record. Small values are used more closely: the exact size is
+// checked again when placements are added.
+func (l StateLimits) MaxOpen() int {
+	const mostOfSmall = 100
+	return max(1, (l.ValueBytes-1024)/36, min(mostOfSmall, (l.ValueBytes-384)/24))
+}
+
+// LoweredTo are the limits once others, as far as these are announced and lower, hold as
+// well.
+func (l StateLimits) LoweredTo(next StateLimits) StateLimits {
+	if next.RPS > 0 {
+		l.RPS = min(l.RPS, next.RPS)
+	}
+	if next.WriteRPS > 0 {
+		l.WriteRPS = min(l.WriteRPS, next.WriteRPS)
+	}
+	if next.ValueBytes > 0 {
+		l.ValueBytes = min(l.ValueBytes, next.ValueBytes)
+	}
+	if next.TxnOps > 0 {
+		l.TxnOps = min(l.TxnOps, next.TxnOps)
+	}
+	return l
+}
+
+// RecordLimits are the limits that every new record and transaction keeps: those of
+// today and the announced ones alike.
+func (s *Settings) RecordLimits() StateLimits { return s.StateLimit.LoweredTo(s.StateNext) }
+
+// leastTxnOps is the fewest changes of a transaction that the service can work with:
+// a job's end, its last claim and its team's record go together.
+const leastTxnOps = 4
 
 // CloudLimits are the budget and the lag of the cloud's API.
 type CloudLimits struct {
@@ -130,6 +163,11 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			Next     struct {
+				WriteRPS float64 `toml:"write_rps"`
+				ValueKB  float64 `toml:"value_kb"`
+				TxnOps   int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS     float64 `toml:"rps"`
@@ -227,8 +265,8 @@
 			return s, p.key, fmt.Sprintf("must be above 0, has %v", p.v)
 		}
 	}
-	if c.State.TxnOps < 4 {
-		return s, "cluster.state.txn_ops", "must be at least 4"
+	if c.State.TxnOps < leastTxnOps {
+		return s, "cluster.state.txn_ops", fmt.Sprintf("must be at least %d", leastTxnOps)
 	}
 	if len(c.Zones) == 0 {
 		return s, "cluster.zones", "is empty"
@@ -268,6 +306,14 @@
 	s.Workers = WorkerSettings{Seconds(c.Workers.Report), Seconds(c.Workers.Lease), Seconds(c.Workers.GangWait),
 		Seconds(c.Workers.GangPeer), Seconds(c.Workers.Cancel)}
 	s.StateLimit = StateLimits{c.State.RPS, c.State.WriteRPS, int(c.State.ValueKB * 1024), c.State.TxnOps}
+	next := c.State.Next
+	if !(next.WriteRPS >= 0 && next.ValueKB >= 0 && next.TxnOps >= 0) {
+		return s, "cluster.state.next", "has a negative limit"
+	}
+	if next.TxnOps > 0 && next.TxnOps < leastTxnOps {
+		return s, "cluster.state.next.txn_ops", fmt.Sprintf("must be at least %d", leastTxnOps)
+	}
+	s.StateNext = StateLimits{WriteRPS: next.WriteRPS, ValueBytes: int(next.ValueKB * 1024), TxnOps: next.TxnOps}
 	s.CloudLimit = CloudLimits{c.Cloud.RPS, Seconds(c.Cloud.ListLag)}
 	s.Machine = MachineLimits{c.Limits.CPUShare, int64(c.Limits.RAM * (1 << 20)), c.Limits.Conns}
 	return s, "", ""
--- a/madderslip.go
+++ b/madderslip.go
@@ -68,6 +68,7 @@
 	worker := transport.NewClient(sockets.Calls, 1, time.Second)
 	state := transport.NewClient(sockets.State, 8, time.Second)
 	led := ledger.New(state, s.State, s.StateLimit, cfg.Log)
+	led.Expect(s.StateNext)
 	c := &Controller{cfg: cfg, led: led}
 	callers := make(map[string]coordination.PeerCaller)
 	for _, p := range s.Peers {
