--- a/internal/schedule/calm.go
+++ b/internal/schedule/calm.go
@@ -130,6 +130,7 @@
 		}
 		switch {
 		case final == len(c.names):
+		case final == 0 && c.w.Endless(j.Ref) && j.Shape != protocol.Service:
 		case final > 0 || (j.Shape != protocol.Service && !j.Fails):
 			return fmt.Errorf("not_final: %s is final at %d controllers after calm", j.Ref, final)
 		case !j.Fails:
--- a/internal/schedule/cluster.go
+++ b/internal/schedule/cluster.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -53,8 +54,9 @@
 	ctx   context.Context
 	seed  uint64
 	w     *standin.World
-	plain bool            // limits are not allotted
-	older map[string]bool // do not say what they took; guarded by mu
+	plain bool                 // limits are not allotted
+	next  protocol.StateLimits // what controllers are told of the state service's coming limits
+	older map[string]bool      // do not say what they took; guarded by mu
 	users sync.WaitGroup
 
 	judge  sync.Mutex // taken under the world's lock, and guards the next two
@@ -102,6 +104,7 @@
 	c.w = standin.NewWorld(ctx, seed, s.Workers, maps.Clone(s.Teams))
 	c.w.OnStop = c.judgeStop
 	c.w.State.Limit(s.StateLimit.RPS, s.StateLimit.WriteRPS)
+	c.w.State.Bound(standin.Sizes{ValueBytes: s.StateLimit.ValueBytes, Changes: s.StateLimit.TxnOps})
 	c.w.Lag = s.CloudLimit.ListLag
 	for _, name := range names {
 		c.w.SetZone(name, zoneOf(names, name))
@@ -137,10 +140,41 @@
 	})
 }
 
+// announce has controllers that start from now on told of the state service's coming
+// limits: "announce VALUE-BYTES CHANGES RATE".
+func (c *cluster) announce(f []string) error {
+	var next protocol.StateLimits
+	if _, err := fmt.Sscan(strings.Join(f, " "), &next.ValueBytes, &next.TxnOps, &next.WriteRPS); err != nil || len(f) != 3 {
+		return fmt.Errorf("script: announce VALUE-BYTES CHANGES RATE, not %q", strings.Join(f, " "))
+	}
+	c.mu.Lock()
+	c.next = next
+	c.mu.Unlock()
+	return nil
+}
+
+// lower has the state service lower its limits to those announced.
+func (c *cluster) lower() error {
+	c.mu.Lock()
+	next := c.next
+	c.mu.Unlock()
+	if next == (protocol.StateLimits{}) {
+		return errors.New("script: no limits are announced")
+	}
+	rps := settings(c.names, c.names[0]).StateLimit.RPS
+	c.w.State.Limit(rps, next.WriteRPS)
+	c.w.State.Bound(standin.Sizes{ValueBytes: next.ValueBytes, Changes: next.TxnOps})
+	c.w.Note("the state service lowers its limits")
+	return nil
+}
+
 // given takes a step about what controllers are given that start from now on; those
 // that run keep theirs: "team NAME cpus=.. most=.. cards=.. mostcards=.." or
 // "allot on|off".
 func (c *cluster) given(f []string) error {
+	if f[0] == "announce" {
+		return c.announce(f[1:])
+	}
 	if f[0] == "allot" {
 		c.mu.Lock()
 		c.plain = f[1] == "off"
@@ -224,6 +258,7 @@
 	c.judge.Lock()
 	s.Teams = maps.Clone(c.teams)
 	c.judge.Unlock()
+	s.StateNext = c.next
 	pol, err := policy.Load("", s)
 	if err != nil {
 		return err
@@ -236,6 +271,7 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	link := standin.Link{W: c.w, Node: name, Ctx: ctx}
 	led := ledger.New(link, "state", s.StateLimit, log)
+	led.Expect(s.StateNext)
 	peers := make(map[string]coordination.PeerCaller)
 	for _, p := range s.Peers {
 		peers[p.Node] = peer{c, name, p.Node}
--- a/internal/schedule/generate.go
+++ b/internal/schedule/generate.go
@@ -14,20 +14,22 @@
 // Script draws a schedule: jobs of every shape on a few machines, with troubles
 // that come in storms, since single ones are covered by the kept traces.
 func Script() *rapid.Generator[string] {
-	return rapid.Custom(func(t *rapid.T) string {
-		d := &draft{t: t, names: controllers(usual)}
-		d.fleet()
-		for range d.number("storms", 1, 3) {
-			d.storm(d.moment("storm", 7*time.Second, 50*time.Second))
-		}
-		for range d.number("jobs apart", 0, 3) {
-			d.job(d.moment("job", 4*time.Second, 60*time.Second))
-		}
-		for range d.number("polls", 1, 5) {
-			d.add(d.moment("poll", 5*time.Second, 90*time.Second), "user %s poll wk-%d", d.node(), d.number("ref", 1, 12))
-		}
-		return d.text()
-	})
+	return rapid.Custom(func(t *rapid.T) string { return storms(t).text() })
+}
+
+func storms(t *rapid.T) *draft {
+	d := &draft{t: t, names: controllers(usual)}
+	d.fleet()
+	for range d.number("storms", 1, 3) {
+		d.storm(d.moment("storm", 7*time.Second, 50*time.Second))
+	}
+	for range d.number("jobs apart", 0, 3) {
+		d.job(d.moment("job", 4*time.Second, 60*time.Second))
+	}
+	for range d.number("polls", 1, 5) {
+		d.add(d.moment("poll", 5*time.Second, 90*time.Second), "user %s poll wk-%d", d.node(), d.number("ref", 1, 12))
+	}
+	return d
 }
 
 type step struct {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -39,6 +39,37 @@
 // and no team may starve.
 func TestDays(t *testing.T) { playSeeds(t, Day(), max(2, *seeds/6)) }
 
+// TestPipelines plays schedules with pipelines drawn from seeds.
+func TestPipelines(t *testing.T) { playSeeds(t, Pipelines(), *seeds) }
+
+// TestPipelineDeepAndWide: a job fifty deep and two hundred side by side need one, and a
+// last one all of those. Cancelled at the root while the state service takes 21 changes a
+// second, all are told cancelled within seconds and nobody waits for a write for that.
+func TestPipelineDeepAndWide(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("0s announce 2048 4 21\n0s machines 6 a\n5s lower\n8s submit n0 wk-0 array tasks=4 run=200\n")
+	submit := func(at time.Duration, ref int, needs string) {
+		fmt.Fprintf(&b, "%v user n%d submit wk-%d array tasks=1 run=1 needs=%s\n", at, ref%3, ref, needs)
+	}
+	var all []string
+	for i := 1; i <= 50; i++ {
+		submit(8*time.Second+time.Duration(i)*400*time.Millisecond, i, fmt.Sprintf("wk-%d", i-1))
+	}
+	for i := 101; i <= 300; i++ {
+		submit(9*time.Second+time.Duration(i-100)*90*time.Millisecond, i, "wk-0")
+		all = append(all, fmt.Sprintf("wk-%d", i))
+	}
+	submit(60*time.Second, 400, strings.Join(all, ","))
+	b.WriteString("70s expect wk-400 pending\n70s expect wk-50 pending\n71s abort n1 wk-0\n")
+	for _, ref := range []int{1, 50, 101, 300, 400} {
+		fmt.Fprintf(&b, "72s expect wk-%d cancelled\n", ref)
+	}
+	b.WriteString("73s submit n2 wk-401 array tasks=1 run=1 needs=wk-400\n73s expect wk-401 cancelled\n75s expect oversize 1\n80s calm\n")
+	if out := play(t, b.String(), 1); out.Kind() != "" {
+		t.Errorf("%q: %v, broken %v", out.Line, out.Err, out.Broken)
+	}
+}
+
 func playSeeds(t *testing.T, draw *rapid.Generator[string], count int) {
 	var mu sync.Mutex
 	kinds := make(map[string]int)
--- a/internal/schedule/script.go
+++ b/internal/schedule/script.go
@@ -72,7 +72,7 @@
 	began := c.began
 	for _, line := range cut(script) {
 		// What controllers are given is so from the first moment on, before they start.
-		if f := strings.Fields(line); len(f) > 2 && f[0] == "0s" && (f[1] == "team" || f[1] == "allot") {
+		if f := strings.Fields(line); len(f) > 2 && f[0] == "0s" && (f[1] == "team" || f[1] == "allot" || f[1] == "announce") {
 			if out.Err = c.given(f[1:]); out.Err != nil {
 				out.Line = line
 				return out
@@ -217,7 +217,9 @@
 		t := c.teams[arg(1)]
 		c.judge.Unlock()
 		c.w.SetTeam(t)
-	case "team", "allot": // for controllers that start from now on
+	case "lower": // the state service's limits are those announced from now on
+		return c.lower()
+	case "team", "allot", "announce": // for controllers that start from now on
 		if time.Since(c.began) > 0 {
 			return c.given(f)
 		}
@@ -393,6 +395,8 @@
 			j.Spec.Image = value
 		case "fetch":
 			j.Fetch = protocol.Seconds(n)
+		case "needs":
+			j.Spec.Awaits = strings.Split(value, ",")
 		case "answer":
 			want = int(n)
 		default:
@@ -443,6 +447,34 @@
 		}
 		return nil
 	}
+	if f[0] == "oversize" { // oversize MOST: so often a transaction with the same first key was refused for its size
+		most, err := strconv.Atoi(f[1])
+		if err != nil {
+			return fmt.Errorf("script: expect oversize MOST: %w", err)
+		}
+		for key, times := range c.w.State.RefusedForSize() {
+			if times > most {
+				return fmt.Errorf("%s was refused %d times for its size", key, times)
+			}
+		}
+		return nil
+	}
+	if f[0] == "large" { // large LEAST: so many records are larger than the announced limit
+		least, err := strconv.Atoi(f[1])
+		if err != nil {
+			return fmt.Errorf("script: expect large LEAST: %w", err)
+		}
+		large := 0
+		for _, value := range c.records() {
+			if len(value) > c.next.ValueBytes {
+				large++
+			}
+		}
+		if large < least {
+			return fmt.Errorf("%d records are larger than %d bytes", large, c.next.ValueBytes)
+		}
+		return nil
+	}
 	if f[0] == "vain" { // vain MOST: starts after a confirmed cancellation
 		most, err := strconv.Atoi(f[1])
 		if err != nil {
--- a/internal/standin/waiting.go
+++ b/internal/standin/waiting.go
@@ -75,7 +75,7 @@
 		limit, u := w.Teams[j.Spec.Team], use[j.Spec.Team]
 		over := (limit.CPUsMax > 0 && u[0]+j.Spec.CPUs*float64(need) > limit.CPUsMax+1e-6) || (limit.GMax > 0 && u[1]+j.Spec.GPUs*float64(need) > limit.GMax+1e-6)
 		switch {
-		case w.calmAt.IsZero(), j.Fail, j.accepted.IsZero(), w.aborted[ref], there[ref], len(j.done) == j.Spec.Tasks, over, w.fits(&j.Spec) < need:
+		case w.calmAt.IsZero(), there[ref], j.finished(), over, w.idles(j), w.fits(&j.Spec) < need:
 			j.waits = time.Time{}
 		case j.waits.IsZero():
 			j.waits = time.Now()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -699,6 +699,9 @@
 	if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.Workers.Cancel {
 		w.breakRule("ran_cancelled", "%s starts on %s", name, m.host)
 	}
+	if !w.needsDone(j) {
+		w.breakRule("too_early", "%s starts on %s before all that it needs is done", name, m.host)
+	}
 	if !j.cancelled.IsZero() {
 		w.vain++
 		w.note("%s starts after its cancellation was confirmed", name)
