Chunks of arrays whose tasks run long fit a value

Need: with 2 KB values an array of 350 tasks of 25 s was cut in three chunks of which 69 tasks each ran at a time, beside free room and with half of the changes a second unused. Change: how often the placements of a chunk may fill a value goes by how long its tasks run: five times at 4 s, once from 20 s on.

--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -427,9 +427,17 @@
 	return t
 }
 
-// wavesOfChunk is how often a chunk's placements may fill a value before the job is
-// cut into more chunks.
-const wavesOfChunk = 5
+const (
+	// mostWaves is how often a chunk's placements may fill a value at the most, and
+	// wavesWithin for how long, before the job is cut into more chunks.
+	mostWaves   = 5
+	wavesWithin = 20 * time.Second
+)
+
+// wavesOf is how often the placements of a chunk of a job may fill a value.
+func (n *Node) wavesOf(s *protocol.Submission) int {
+	return max(1, min(mostWaves, int(wavesWithin/max(n.estimate(s), time.Second))))
+}
 
 // chunkSize is how many tasks of a job are claimed together. Gangs, services
 // and jobs whose tasks depend on one another's zones are claimed whole, so
@@ -451,8 +459,9 @@
 		small = int(min(float64(small), cpus/4/s.CPUs))
 	}
 	// A chunk has no more placements at a time than fit a value: 25,000 tasks of 4 s in
-	// two chunks took longer than 400 s beside free room.
-	parts := min(max(1, n.pol.Copies, (s.Tasks-1)/(wavesOfChunk*n.cfg.RecordLimits().MaxOpen())+1), maxChunks)
+	// two chunks took longer than 400 s beside free room, and where values are small an
+	// array of 350 tasks of 25 s ran 138 of them at a time.
+	parts := min(max(1, n.pol.Copies, (s.Tasks-1)/(n.wavesOf(s)*n.cfg.RecordLimits().MaxOpen())+1), maxChunks)
 	return min(s.Tasks, max(n.pol.ChunkTasks, (s.Tasks+parts-1)/parts, small))
 }
 
