Tests: records of the version in production, limits learned once, awaits

Need: what both versions make of one another's records, and what a refusal proves. Change: records that wrote in the stand-in world, one of each kind, are kept as test data, read and written again without loss; what its reader makes of held, released and cancelled records; no pipeline while a controller does not understand them.

--- /dev/null
+++ b/internal/coordination/versions_test.go
@@ -0,0 +1,110 @@
+package coordination
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"testing"
+
+	"madderslip/internal/ledger"
+	"madderslip/internal/protocol"
+)
+
+// TestRecordsOfProduction: the records that the version in production (6672a9c) wrote in
+// the stand-in world are read, and written again without losing a field.
+func TestRecordsOfProduction(t *testing.T) {
+	raw, err := os.ReadFile("testdata/records-6672a9c.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var records map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &records); err != nil {
+		t.Fatal(err)
+	}
+	kinds := make(map[string]bool)
+	for key, value := range records {
+		rec := blank(key)
+		if rec == nil {
+			t.Errorf("%s: of no known kind", key)
+			continue
+		}
+		kinds[key[:2]] = true
+		if err := protocol.Decode(value, rec); err != nil {
+			t.Errorf("%s: %v", key, err)
+			continue
+		}
+		again, err := protocol.Encode(rec)
+		var was, is any
+		if err != nil || json.Unmarshal(value, &was) != nil || json.Unmarshal(again, &is) != nil || !reflect.DeepEqual(was, is) {
+			t.Errorf("%s: %s, written again %s (%v)", key, value, again, err)
+		}
+		if j, ok := rec.(*ledger.Job); ok && (j.State == ledger.Held || len(j.Needs) > 0 || j.Released != 0) {
+			t.Errorf("%s is taken for one that waits", key)
+		}
+	}
+	if len(kinds) < 9 {
+		t.Errorf("only %d kinds of records: %v", len(kinds), kinds)
+	}
+}
+
+// formerJob is a job's record as the version in production reads it; it ignores fields
+// that it does not know.
+type formerJob struct {
+	Spec  *protocol.Submission `json:"d,omitempty"`
+	At    []string             `json:"q,omitempty"`
+	Born  int64                `json:"b,omitempty"`
+	State string               `json:"x,omitempty"`
+	Tasks int                  `json:"n,omitempty"`
+	Size  int                  `json:"k,omitempty"`
+	Ended int64                `json:"e,omitempty"`
+}
+
+// final is how that version tells that a job is over: it starts nothing of it then, and
+// answers its users with the state.
+func (j *formerJob) final() bool { return j.State != "" }
+
+// TestProductionReadsPipelines: what the version in production makes of the records of
+// jobs that wait, wait no longer, or were cancelled while they waited.
+func TestProductionReadsPipelines(t *testing.T) {
+	spec := &protocol.Submission{Ref: "wk-7", Shape: protocol.Array, Tasks: 3, CPUs: 2}
+	read := func(rec *ledger.Job) *formerJob {
+		t.Helper()
+		raw, err := protocol.Encode(rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var former formerJob
+		if err := json.Unmarshal(raw, &former); err != nil {
+			t.Fatal(err)
+		}
+		return &former
+	}
+	held := read(&ledger.Job{State: ledger.Held, Spec: spec, Needs: ledger.Refs{"wk-1", "wk-000002"}, Born: 5})
+	if !held.final() || held.State != protocol.Pending {
+		t.Errorf("a job that waits would be started: %+v", held)
+	}
+	released := read(&ledger.Job{Spec: spec, At: []string{"n0", "n1"}, Born: 5, Released: 9, Size: 3})
+	if released.final() || released.Spec.Tasks != 3 || len(released.At) != 2 || released.Size != 3 {
+		t.Errorf("a released job is no ordinary one: %+v", released)
+	}
+	cancelled := read(&ledger.Job{State: protocol.Cancelled, Tasks: 3, Ended: 9})
+	if !cancelled.final() || cancelled.State != protocol.Cancelled {
+		t.Errorf("a cancelled job: %+v", cancelled)
+	}
+}
+
+// TestNoPipelineBesideOlderVersions: while a live controller does not understand jobs that
+// wait, none is accepted.
+func TestNoPipelineBesideOlderVersions(t *testing.T) {
+	n := &Node{nodes: map[string]nodeSeen{"n0": {waits: understandsPipelines}, "n1": {}}}
+	if n.allUnderstandPipelines() {
+		t.Error("accepted beside n1, which does not say that it understands them")
+	}
+	n.nodes["n1"] = nodeSeen{waits: understandsPipelines}
+	if !n.allUnderstandPipelines() {
+		t.Error("refused though all understand them")
+	}
+	if (&Node{}).allUnderstandPipelines() {
+		t.Error("accepted before any controller is known, this one included")
+	}
+}
--- /dev/null
+++ b/internal/ledger/limits_test.go
@@ -0,0 +1,91 @@
+package ledger
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+// The state service has lowered its limits: one refusal tells, the batch goes on in
+// smaller ones, a value that does not fit is refused once and never sent again.
+func TestLowersLimitsOnce(t *testing.T) {
+	refusals, oversize := 0, 0
+	s := &script{answer: func(_ int, body string) (int, string, error) {
+		large := strings.Contains(body, strings.Repeat("x", 40))
+		if large {
+			oversize++
+		}
+		if large || strings.Count(body, `"set"`) > 2 {
+			refusals++
+			return 400, `{"error":"the value is too large"}`, nil
+		}
+		return 200, `{"epoch":6}`, nil
+	}}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) {
+		c.Expect(protocol.StateLimits{ValueBytes: 32, TxnOps: 2, WriteRPS: 50})
+		big := func(name string) *Txn {
+			t := set(name, 0, done(name))
+			t.Ops[0].Value = strings.Repeat("x", 40)
+			return t
+		}
+		for _, key := range []string{"a", "b", "c"} {
+			c.Submit(set(key, 0, done(key)))
+		}
+		c.Submit(big("big"))
+		time.Sleep(5 * time.Second)
+		c.Submit(big("again"))
+		if c.ValueBytes() != 32 {
+			t.Errorf("values of %d bytes are thought to fit", c.ValueBytes())
+		}
+	})
+	for _, key := range []string{"a", "b", "c"} {
+		if got[key] != nil {
+			t.Errorf("%s: %v", key, got[key])
+		}
+	}
+	if !errors.Is(got["big"], ErrTooLarge) || !errors.Is(got["again"], ErrTooLarge) || oversize != 1 || refusals != 1 {
+		t.Errorf("%v, %d refusals, %d for size", got, refusals, oversize)
+	}
+}
+
+// A refusal that the lower limits do not explain proves nothing.
+func TestMalformedIsNoLowerLimit(t *testing.T) {
+	s := &script{answer: func(int, string) (int, string, error) { return 400, `{"error":"malformed"}`, nil }}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) {
+		c.Expect(protocol.StateLimits{ValueBytes: 32, TxnOps: 2})
+		c.Submit(set("a", 0, done("a")))
+		time.Sleep(time.Second)
+		if c.ValueBytes() != 64 {
+			t.Errorf("values of %d bytes are thought to fit", c.ValueBytes())
+		}
+	})
+	if !errors.Is(got["a"], ErrInvalid) || errors.Is(got["a"], ErrTooLarge) {
+		t.Error(got)
+	}
+}
+
+// The rate falls with each burst of refusals, not below what is announced, and is found
+// again once there are none.
+func TestRateIsFoundFromRefusals(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := newLimits(protocol.StateLimits{WriteRPS: 30})
+	l.expect(protocol.StateLimits{WriteRPS: 21})
+	l.tooMany(now)
+	l.tooMany(now.Add(time.Millisecond)) // of the same burst
+	if got := l.writeRate(now); got != 30*slowBy {
+		t.Fatalf("%v after one burst", got)
+	}
+	for i := range 40 {
+		l.tooMany(now.Add(time.Duration(i) * time.Second / 2))
+	}
+	now = now.Add(20 * time.Second)
+	if got := l.writeRate(now); got < 21 || got > 22 {
+		t.Fatalf("%v while all is refused", got)
+	}
+	if got := l.writeRate(now.Add(time.Minute)); got != 30 {
+		t.Fatalf("%v after a minute without refusals", got)
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -39,6 +39,11 @@
 		"null":           {goodJob, `null`},
 		"not JSON":       {goodJob, `{"ref":`},
 		"boolean as int": {`"samePlace":true`, `"samePlace":1`},
+		"awaits text":    {`"news":1`, `"awaits":"wk-1"`},
+		"awaits object":  {`"news":1`, `"awaits":{"wk-1":true}`},
+		"awaits null id": {`"news":1`, `"awaits":["wk-1",null]`},
+		"awaits bad id":  {`"news":1`, `"awaits":["wk-1","job-2"]`},
+		"awaits itself":  {`"news":1`, `"awaits":["wk-000412"]`},
 	}
 	for name, f := range faults {
 		body := strings.Replace(goodJob, f[0], f[1], 1)
@@ -48,6 +53,22 @@
 	}
 }
 
+// The jobs that one waits for may be left out or null, and count once.
+func TestAwaits(t *testing.T) {
+	for with, want := range map[string]string{
+		`"news":1`:                               "",
+		`"awaits":null`:                          "",
+		`"awaits":[]`:                            "",
+		`"awaits":["wk-2","wk-000001"]`:          "wk-000001 wk-2",
+		`"awaits":["wk-2","wk-1","wk-2","wk-1"]`: "wk-1 wk-2",
+	} {
+		s, err := ParseSubmission([]byte(strings.Replace(goodJob, `"news":1`, with, 1)))
+		if err != nil || strings.Join(s.Awaits, " ") != want {
+			t.Errorf("%s: %v %v", with, s, err)
+		}
+	}
+}
+
 // Only what may be null may be left out, and the other way round: a job that lacks
 // samePlace was accepted, and its tasks ran where its user did not want them.
 func TestFieldsThatMayNotBeLeftOut(t *testing.T) {
@@ -160,6 +181,9 @@
 		{`node = "b"`, `node = "a"`, "others[0].node"},
 		{`zones = ["z"]`, `zones = []`, "cluster.zones"},
 		{`txn_ops = 12`, `txn_ops = 1`, "cluster.state.txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[cluster.state.next]\ntxn_ops = 2", "cluster.state.next.txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[cluster.state.next]\nvalue_kb = -2.0", "cluster.state.next"},
+		{`txn_ops = 12`, "txn_ops = 12\n[cluster.state.next]\nvalue_kb = nan", "cluster.state.next"},
 	} {
 		_, file, err := load(strings.Replace(goodSettings, c[0], c[1], 1))
 		var se *SettingError
@@ -169,6 +193,25 @@
 	}
 }
 
+// Records keep the limits that are announced as well as those of today.
+func TestRecordLimits(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "s.toml")
+	text := strings.Replace(goodSettings, "txn_ops = 12", "txn_ops = 12\n[cluster.state.next]\nvalue_kb = 2.0\nwrite_rps = 21.0", 1)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := LoadSettings(file)
+	if l := s.RecordLimits(); err != nil || l != (StateLimits{RPS: 100, WriteRPS: 21, ValueBytes: 2048, TxnOps: 12}) {
+		t.Errorf("%+v, %v", l, err)
+	}
+	if open := s.RecordLimits().MaxOpen(); open < 60 || open*24+384 > 2048 {
+		t.Errorf("%d placements in 2 KB", open)
+	}
+	if open := s.StateLimit.MaxOpen(); open != 199 {
+		t.Errorf("%d placements in 8 KB, 199 before", open)
+	}
+}
+
 // A guest team whose figures contradict one another is no reason not to start: the
 // limit counts, and the contradiction is named.
 func TestDoubtfulTeams(t *testing.T) {
