--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"maps"
+	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	"madderslip/internal/protocol"
@@ -37,18 +39,37 @@
 	// The list is as old as its lag; what is younger is missing, and what has
 	// gone since is still there.
 	asOf := time.Now().Add(-w.Lag)
+	from, most := page(target)
 	var list protocol.MachineList
 	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
 		m := w.machines[host]
+		if host < from {
+			continue
+		}
+		if list.Truncated = len(list.Hosts) == most; list.Truncated {
+			break
+		}
 		if m.born.After(asOf) || (m.gone && m.goneAt.Before(asOf)) {
 			continue
 		}
-		list.Hosts = append(list.Hosts, protocol.ListedMachine{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Spot: m.spot, Phase: m.listedAs(asOf),
+		list.Hosts = append(list.Hosts, protocol.ListedMachine{Host: m.host, Addr: w.Address(m.host), Type: m.typ, Zone: m.zone, Spot: m.spot, Phase: m.listedAs(asOf),
 			HeldS: asOf.Sub(m.born).Seconds()})
 	}
 	return reply(200, list)
 }
 
+// page reads where a page of the list begins and how long it may be.
+func page(target string) (from string, most int) {
+	most = 500
+	if u, err := url.Parse(target); err == nil {
+		from = u.Query().Get("from")
+		if n, err := strconv.Atoi(u.Query().Get("most")); err == nil && n > 0 {
+			most = min(n, most)
+		}
+	}
+	return from, most
+}
+
 func (w *World) rent(body []byte) (int, []byte) {
 	var h protocol.Hire
 	if json.Unmarshal(body, &h) != nil {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -207,6 +207,10 @@
 func (w *World) check() {
 	for wait(w.ctx, 500*time.Millisecond+73*time.Nanosecond) {
 		w.mu.Lock()
+		if w.Hollow {
+			w.mu.Unlock()
+			continue
+		}
 		use := w.teamUse()
 		w.countReplicas(500 * time.Millisecond)
 		if !w.calmAt.IsZero() {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -256,7 +256,7 @@
 
 func (m *Machine) account() protocol.Report {
 	m.seq++
-	r := protocol.Report{Host: m.host, Addr: m.host + ":9000", Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq,
+	r := protocol.Report{Host: m.host, Addr: m.w.Address(m.host), Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq,
 		Token: m.token, Tasks: []protocol.TaskReport{}}
 	if !m.warning.IsZero() {
 		left := time.Until(m.warning).Seconds()
@@ -668,6 +668,10 @@
 
 // checkStart judges a start by the rules.
 func (w *World) checkStart(m *Machine, name string, t *task, j *Job) {
+	if w.Hollow {
+		w.started(j)
+		return
+	}
 	s := &j.Spec
 	inZone := 1
 	for _, host := range slices.Sorted(maps.Keys(w.machines)) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -48,6 +48,13 @@
 	began    time.Time
 	Types    []protocol.MachineType
 	spare    int // machines that the cloud has left to rent
+	// Address is where a machine's worker takes commands; set before machines are added.
+	Address func(host string) string
+	// Hollow has the world keep no events, look at no rule that needs a walk over all
+	// machines, and count starts instead: for measurements at sizes where its own work
+	// would be what is measured.
+	Hollow  bool
+	started func(j *Job)
 	// OnStop, if set, is told of every running task that a command stops, with what
 	// the teams use, and says what rule that breaks. The world's lock is held.
 	OnStop func(task, host string, use map[string][2]float64) (rule string)
@@ -59,7 +66,7 @@
 
 // NewWorld makes an empty world.
 func NewWorld(ctx context.Context, seed uint64, w protocol.WorkerSettings, teams map[string]protocol.Team) *World {
-	world := &World{State: newState(), Workers: w, Teams: teams, ctx: ctx, seed: seed, rolls: make(map[uint64]uint64),
+	world := &World{State: newState(), Address: func(host string) string { return host + ":9000" }, Workers: w, Teams: teams, ctx: ctx, seed: seed, rolls: make(map[uint64]uint64),
 		nodes: make(map[string]NodeHandler), trouble: make(map[string]bool),
 		machines: make(map[string]*Machine), hires: make(map[string][]string), jobs: make(map[string]*Job), aborted: make(map[string]bool),
 		held: make(map[string][]func()), began: time.Now(), faults: newFaults(), above: make(map[string]protocol.Team), kept: make(map[string][][]byte),
@@ -94,6 +101,9 @@
 func (w *World) chance(percent uint64, parts ...string) bool { return w.roll(parts...)%100 < percent }
 
 func (w *World) note(format string, a ...any) {
+	if w.Hollow {
+		return
+	}
 	w.events = append(w.events, fmt.Sprintf("%8.3f %s", time.Since(w.began).Seconds(), fmt.Sprintf(format, a...)))
 }
 
