--- a/internal/coordination/pipeline.go
+++ b/internal/coordination/pipeline.go
@@ -248,7 +248,7 @@
 	}
 	at := n.chooseShards(w.Spec, now)
 	rec := &ledger.Job{Spec: w.Spec, At: at, Born: w.Born.UnixMilli(), Released: now.UnixMilli(), Size: n.chunkSize(w.Spec, at)}
-	raised := pipeline.Inherit(w.Spec, n.pipelines.graph.Urgency(w.Ref, n.estimate))
+	raised := pipeline.Inherit(w.Spec, n.pipelines.graph.Urgency(w.Ref, n.estimate), 0)
 	n.pipelines.releasing[w.Ref] = true
 	n.commitRelease(w, rec, n.claimNew(raised, at, now))
 }
@@ -353,10 +353,10 @@
 	before := j.spec()
 	u := g.Urgency(j.ref, n.estimate)
 	j.heir.by = u.By
-	switch raised := pipeline.Inherit(j.rec.Spec, u); {
+	switch raised := pipeline.Inherit(j.rec.Spec, u, time.Since(j.seen)); {
 	case raised == j.rec.Spec:
 		j.heir.of, j.heir.spec = nil, nil
-	case j.heir.of == j.rec.Spec && j.heir.spec.Rank == raised.Rank:
+	case j.heir.of == j.rec.Spec && j.heir.spec.Rank == raised.Rank && j.heir.spec.Spot == raised.Spot:
 		return
 	default:
 		j.heir.of, j.heir.spec = j.rec.Spec, raised
--- a/internal/pipeline/graph_test.go
+++ b/internal/pipeline/graph_test.go
@@ -133,10 +133,10 @@
 		t.Fatalf("longer inherits %+v", u)
 	}
 	spec := &protocol.Submission{Rank: "idle"}
-	if raised := Inherit(spec, g.Urgency("root", estimate)); raised == spec || raised.Rank != "high" || spec.Rank != "idle" {
+	if raised := Inherit(spec, g.Urgency("root", estimate), 0); raised == spec || raised.Rank != "high" || spec.Rank != "idle" {
 		t.Errorf("raised %+v, own %+v", raised, spec)
 	}
-	if own := (&protocol.Submission{Rank: "critical"}); Inherit(own, g.Urgency("root", estimate)) != own {
+	if own := (&protocol.Submission{Rank: "critical"}); Inherit(own, g.Urgency("root", estimate), 0) != own {
 		t.Error("a higher rank of its own was given up")
 	}
 	r.ends(g, "last", Cancelled)
@@ -145,6 +145,21 @@
 	}
 }
 
+// On the way to a deadline a job keeps off cheap machines for a while, and not for longer.
+func TestOffCheapMachines(t *testing.T) {
+	spec := &protocol.Submission{Rank: "high", Spot: true}
+	due := Urgency{Rank: 1, By: noon}
+	if got := Inherit(spec, due, time.Second); got.Spot || got.Rank != "high" {
+		t.Errorf("at first: %+v", got)
+	}
+	if got := Inherit(spec, due, offCheap+1); got != spec {
+		t.Errorf("after a while: %+v", got)
+	}
+	if got := Inherit(spec, Urgency{Rank: 2}, 0); got != spec {
+		t.Errorf("without a deadline: %+v", got)
+	}
+}
+
 // A graph fed record by record, in any order in which records may be read, says the same
 // as one walk over all of them.
 func TestSameAsAWalk(t *testing.T) {
--- a/internal/pipeline/urgency.go
+++ b/internal/pipeline/urgency.go
@@ -59,13 +59,24 @@
 	return a
 }
 
-// Inherit is a description with the rank that it inherits; the description itself where
-// its own is no lower.
-func Inherit(spec *protocol.Submission, u Urgency) *protocol.Submission {
-	if spec == nil || u.Rank <= spec.Prio() {
+// offCheap is for how long a job on the way to a deadline keeps off cheap machines. Longer
+// it would wait beside room that it may use.
+const offCheap = 15 * time.Second
+
+// Inherit is a description with the rank that it inherits, the description itself where
+// nothing changes. On the way to a deadline a job keeps off cheap machines at first: what
+// is lost with one that is taken without notice begins again only once that is proved, a
+// minute later. waited is for how long it has been in the queues.
+func Inherit(spec *protocol.Submission, u Urgency, waited time.Duration) *protocol.Submission {
+	if spec == nil {
+		return nil
+	}
+	rank := max(u.Rank, spec.Prio())
+	spot := spec.Spot && (u.By.IsZero() || waited > offCheap)
+	if rank == spec.Prio() && spot == spec.Spot {
 		return spec
 	}
 	raised := *spec
-	raised.Rank = protocol.RankOf(u.Rank)
+	raised.Rank, raised.Spot = protocol.RankOf(rank), spot
 	return &raised
 }
