A refused transaction whose earlier sending got no answer is of unknown fate

Refused for its size or as malformed after a sending without an answer, a transaction ended as if it had not been carried out; a limited team's start could so be forgotten until the watch brought it, and a job accepted by the first sending be answered with 400. For ended leases this was right already. Change: one function ends refused transactions, for both; such an acceptance is a 503.

--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -305,7 +305,7 @@
 			n.log.Debug("job accepted", "job", ref, "at", rec.At, "needs", len(rec.Needs), "claimed", first.claim != nil)
 			n.tell(ref, 201, time.Until(until), reply)
 			n.announceNew(key, rec)
-		case errors.Is(err, ledger.ErrTooLarge):
+		case errors.Is(err, ledger.ErrTooLarge) && !errors.Is(err, ledger.ErrUnknown):
 			reply(badRequest(errors.New("the job's record is larger than the state service takes")))
 		case errors.Is(err, ledger.ErrConflict):
 			if _, _, final, known := n.answerOf(ref); known {
--- a/internal/ledger/limits_test.go
+++ b/internal/ledger/limits_test.go
@@ -89,3 +89,23 @@
 		t.Fatalf("%v after a minute without refusals", got)
 	}
 }
+
+// A transaction whose first sending got no answer may have been carried out before the
+// limits fell: that it is refused now does not make its fate known.
+func TestRefusedAfterNoAnswerIsUnknown(t *testing.T) {
+	s := &script{answer: func(n int, _ string) (int, string, error) {
+		if n == 1 {
+			return 0, "", errors.New("timeout")
+		}
+		return 400, `{"error":"the value is too large"}`, nil
+	}}
+	got := run(t, s, func(c *Client, done func(string) func(Result)) {
+		c.Expect(protocol.StateLimits{ValueBytes: 32})
+		big := set("big", 0, done("big"))
+		big.Ops[0].Value = strings.Repeat("x", 40)
+		c.Submit(big)
+	})
+	if !errors.Is(got["big"], ErrTooLarge) || !errors.Is(got["big"], ErrUnknown) {
+		t.Error(got)
+	}
+}
--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -65,11 +65,7 @@
 			continue
 		}
 		c.log.Info("lease of a transaction has ended", "keys", keysOf(t))
-		err := ErrNoGrant
-		if t.unsure {
-			err = errors.Join(ErrNoGrant, ErrUnknown) // an earlier sending may have been carried out
-		}
-		t.Done(Result{Err: err})
+		t.refuse(ErrNoGrant)
 	}
 	if len(again) == len(batch) { // not one that this client understands
 		for _, t := range again {
@@ -80,6 +76,15 @@
 	return again
 }
 
+// refuse ends a transaction that this sending did not carry out. An earlier one without an
+// answer may have been: its caller then reads the keys again before it decides anew.
+func (t *Txn) refuse(err error) {
+	if t.unsure {
+		err = errors.Join(err, ErrUnknown)
+	}
+	t.Done(Result{Err: err})
+}
+
 // fitsIn tells whether a transaction alone keeps limits.
 func (t *Txn) fitsIn(l protocol.StateLimits) bool {
 	return len(t.Ops) <= l.TxnOps && len(t.Conds) <= condsPerOp*l.TxnOps && t.largest <= l.ValueBytes
@@ -108,10 +113,10 @@
 	for _, t := range batch {
 		switch {
 		case !t.fitsIn(now):
-			t.Done(Result{Err: ErrTooLarge})
+			t.refuse(ErrTooLarge)
 		case len(batch) == 1:
 			c.log.Error("transaction refused as malformed", "reason", reason, "keys", keysOf(t))
-			t.Done(Result{Err: ErrInvalid})
+			t.refuse(ErrInvalid)
 		default:
 			t.alone = fitted
 			again = append(again, t)
