The claim made with an acceptance or release has one maker

Need: a wrapper only put three results into the type that both callers use. Change: claimAtOnce returns it. Result: tests of coordination, schedule and ledger pass.

--- a/internal/coordination/claim.go
+++ b/internal/coordination/claim.go
@@ -60,12 +60,6 @@
 	conds []ledger.Cond
 }
 
-// claimNew makes the claim of a job that is just being accepted or released, if it can.
-func (n *Node) claimNew(spec *protocol.Submission, at []string, now time.Time) newClaim {
-	c, s, conds := n.claimAtOnce(spec, at, now)
-	return newClaim{c, s, conds}
-}
-
 func (f newClaim) ops() []ledger.Op {
 	if f.claim == nil {
 		return nil
@@ -80,13 +74,13 @@
 	}
 }
 
-// claimAtOnce prepares the claim of a job that is just being accepted, if this
+// claimAtOnce prepares the claim of a job that is just being accepted or released, if this
 // node owns one of its shards and that has room for all that must start
 // together.
-func (n *Node) claimAtOnce(spec *protocol.Submission, at []string, now time.Time) (*claim, *shard, []ledger.Cond) {
+func (n *Node) claimAtOnce(spec *protocol.Submission, at []string, now time.Time) newClaim {
 	size := n.chunkSize(spec, at)
 	if size < spec.Tasks || n.limited(spec) {
-		return nil, nil, nil
+		return newClaim{}
 	}
 	for _, name := range at {
 		s := n.shards[name]
@@ -113,9 +107,9 @@
 		if !ok {
 			continue
 		}
-		return c, s, conds
+		return newClaim{c, s, conds}
 	}
-	return nil, nil, nil
+	return newClaim{}
 }
 
 // queuedBefore tells whether others of at least this priority wait already:
--- a/internal/coordination/pipeline.go
+++ b/internal/coordination/pipeline.go
@@ -250,7 +250,7 @@
 	rec := &ledger.Job{Spec: w.Spec, At: at, Born: w.Born.UnixMilli(), Released: now.UnixMilli(), Size: n.chunkSize(w.Spec, at)}
 	raised := pipeline.Inherit(w.Spec, n.pipelines.graph.Urgency(w.Ref, n.estimate), 0)
 	n.pipelines.releasing[w.Ref] = true
-	n.commitRelease(w, rec, n.claimNew(raised, at, now))
+	n.commitRelease(w, rec, n.claimAtOnce(raised, at, now))
 }
 
 func (n *Node) commitRelease(w pipeline.Job, rec *ledger.Job, first newClaim) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -285,7 +285,7 @@
 	}
 	at := n.chooseShards(spec, now)
 	rec := &ledger.Job{Spec: spec, At: at, Born: now.UnixMilli(), Size: n.chunkSize(spec, at)}
-	first := n.claimNew(spec, at, now)
+	first := n.claimAtOnce(spec, at, now)
 	for _, name := range at {
 		n.queuedNow[name] += spec.CPUs * float64(spec.Tasks)
 	}
