--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,8 +13,9 @@
 )
 
 var cases = map[string]func(trouble bool) bool{
-	"outage-with-queue": outageWithQueue,
-	"chaos":             chaos,
+	"outage-with-queue":    outageWithQueue,
+	"restart-with-history": restartWithHistory,
+	"chaos":                chaos,
 }
 
 func main() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -68,6 +68,9 @@
 	cloud       *cloud
 	links       map[string]*gate // by pair of zones or names
 	dir         string
+	// loseCommand tells whether a direct command gets no answer, and by how much it is carried
+	// out late; nil: none does.
+	loseCommand func() (lost bool, late time.Duration)
 
 	mu   sync.Mutex
 	jobs map[string]*job
