Review case 3: a gang of 80 tasks never starts once the state service lowers its limits

Adds the case, and gangs to the stand-in workers. Mends two faults of the stand-ins: a cut zone let through a controller's connection whose process was looked up under a reused port, and a worker's report over a cut link did not time out.

--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -70,7 +70,7 @@
 func (c *cloud) serve(g *gate) string {
 	listener := listen()
 	server := &http.Server{Handler: http.HandlerFunc(c.handle)}
-	go func() { _ = server.Serve(gatedListener{listener, func(net.Addr) *gate { return g }}) }()
+	go func() { _ = server.Serve(gatedListener{listener, func(net.Conn) (*gate, bool) { return g, true }}) }()
 	return listener.Addr().String()
 }
 
--- a/review/standin/gate.go
+++ b/review/standin/gate.go
@@ -24,14 +24,22 @@
 }
 
 // wait blocks until the gate is open.
-func (g *gate) wait() {
+func (g *gate) wait() { g.waitOr(nil) }
+
+// waitOr blocks until the gate is open or stop is closed, and reports whether it is open.
+func (g *gate) waitOr(stop <-chan struct{}) bool {
 	if g == nil {
-		return
+		return true
 	}
 	g.mu.Lock()
 	open := g.open
 	g.mu.Unlock()
-	<-open
+	select {
+	case <-open:
+		return true
+	case <-stop:
+		return false
+	}
 }
 
 // cut closes the gate.
@@ -59,33 +67,53 @@
 // gatedConn is a connection over a link with a gate.
 type gatedConn struct {
 	net.Conn
-	gate *gate
+	gate   *gate
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newGatedConn(conn net.Conn, g *gate) *gatedConn {
+	return &gatedConn{Conn: conn, gate: g, closed: make(chan struct{})}
 }
 
-func (c gatedConn) Read(b []byte) (int, error) {
+func (c *gatedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.gate.wait()
+	if !c.gate.waitOr(c.closed) {
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
-func (c gatedConn) Write(b []byte) (int, error) {
-	c.gate.wait()
+func (c *gatedConn) Write(b []byte) (int, error) {
+	if !c.gate.waitOr(c.closed) {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(b)
 }
 
+func (c *gatedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // gatedListener gives each accepted connection the gate of its peer. A connection whose gate
-// is closed is accepted by the kernel, and stays silent.
+// is closed is accepted by the kernel, and stays silent. One whose peer is not known is closed.
 type gatedListener struct {
 	net.Listener
-	gateOf func(remote net.Addr) *gate
+	gateOf func(conn net.Conn) (g *gate, known bool)
 }
 
 func (l gatedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if g, known := l.gateOf(conn); known {
+			return newGatedConn(conn, g), nil
+		}
+		_ = conn.Close()
 	}
-	return gatedConn{conn, l.gateOf(conn.RemoteAddr())}, nil
 }
 
 // listen listens on a free loopback port.
@@ -152,13 +180,14 @@
 
 // ownerOf returns which of the given processes holds the other end of a loopback connection:
 // the index of its process id, or -1.
-func ownerOf(remote net.Addr, pids []int) int {
-	tcp, ok := remote.(*net.TCPAddr)
-	if !ok {
+func ownerOf(conn net.Conn, pids []int) int {
+	remote, ok := conn.RemoteAddr().(*net.TCPAddr)
+	local, ok2 := conn.LocalAddr().(*net.TCPAddr)
+	if !ok || !ok2 {
 		return -1
 	}
-	for range 5 {
-		if inode := socketInode(tcp.Port); inode != "" {
+	for range 50 {
+		if inode := socketInode(remote.Port, local.Port); inode != "" {
 			link := "socket:[" + inode + "]"
 			for i, pid := range pids {
 				if holds(pid, link) {
@@ -171,16 +200,16 @@
 	return -1
 }
 
-// socketInode returns the inode of the socket that is bound to a local port and connected.
-func socketInode(port int) string {
+// socketInode returns the inode of the socket that connects a local port with a remote one.
+func socketInode(localPort, remotePort int) string {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
-	suffix := fmt.Sprintf(":%04X", port)
+	local, remote := fmt.Sprintf(":%04X", localPort), fmt.Sprintf(":%04X", remotePort)
 	for _, line := range strings.Split(string(table), "\n") {
 		fields := strings.Fields(line)
-		if len(fields) > 9 && strings.HasSuffix(fields[1], suffix) && fields[3] != "0A" {
+		if len(fields) > 9 && strings.HasSuffix(fields[1], local) && strings.HasSuffix(fields[2], remote) && fields[9] != "0" {
 			return fields[9]
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(trouble bool) bool{
 	"outage-with-queue":    outageWithQueue,
 	"restart-with-history": restartWithHistory,
+	"lowered-limits":       loweredLimits,
 	"chaos":                chaos,
 }
 
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -108,7 +108,7 @@
 	listener := listen()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(node, w, r) })}
 	go func() {
-		_ = server.Serve(gatedListener{listener, func(net.Addr) *gate { return g }})
+		_ = server.Serve(gatedListener{listener, func(net.Conn) (*gate, bool) { return g, true }})
 	}()
 	return listener.Addr().String()
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -41,7 +41,7 @@
 	job     *job
 	name    string
 	attempt uint64
-	phase   string // fetching, running or exited
+	phase   string // fetching, gathering, running or exited
 	cause   string
 	timer   *time.Timer
 }
@@ -84,12 +84,13 @@
 	k.address = listener.Addr().String()
 	k.server = &http.Server{Handler: http.HandlerFunc(k.serve)}
 	go func() {
-		_ = k.server.Serve(gatedListener{listener, func(remote net.Addr) *gate {
-			i := ownerOf(remote, w.pids())
+		_ = k.server.Serve(gatedListener{listener, func(conn net.Conn) (*gate, bool) {
+			i := ownerOf(conn, w.pids())
 			if i < 0 {
-				return nil
+				note("worker %s: a connection of an unknown process is closed", m.ref)
+				return nil, false
 			}
-			return k.toNodes[i]
+			return k.toNodes[i], true
 		}})
 	}()
 	go k.reportLoop()
@@ -109,7 +110,7 @@
 func (k *worker) killAll(why string) {
 	for key, t := range k.tasks {
 		t.timer.Stop()
-		if t.phase == "running" {
+		if t.isOn() {
 			k.world.taskOff(k, t, why)
 		}
 		delete(k.tasks, key)
@@ -160,7 +161,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return gatedConn{conn, g}, nil
+			return newGatedConn(conn, g), nil
 		}
 		clients[i] = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}}
 	}
@@ -221,6 +222,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.checkLease()
+	if status != 200 {
+		note("worker %s: report to %s: %d %s", k.machine.ref, k.world.controllers[node].name, status, body)
+	}
 	switch status {
 	case 200:
 		var answer struct {
@@ -324,29 +328,56 @@
 			return
 		}
 		k.images[j.spec.Bundle] = true
-		t.phase = "running"
 		k.world.taskOn(k, t)
-		k.notify()
-		if j.spec.Shape == "service" {
+		if j.spec.Shape == "group" {
+			t.phase = "gathering"
+			t.timer = time.AfterFunc(k.world.timing.gangWait, func() {
+				k.hang.wait()
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				if k.tasks[key] == t && t.phase == "gathering" {
+					k.exit(t, "incomplete")
+				}
+			})
+			go k.world.gather(t, func() {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				if k.tasks[key] == t && t.phase == "gathering" {
+					t.timer.Stop()
+					k.run(key, t)
+				}
+			})
+			k.notify()
 			return
 		}
-		t.timer = time.AfterFunc(j.run, func() {
-			k.hang.wait()
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			k.checkLease()
-			if k.gone || k.tenure != tenure || k.tasks[key] != t || t.phase != "running" {
-				return
-			}
-			k.exit(t, "done")
-		})
+		k.run(key, t)
+	})
+}
+
+// run lets a task run from now on. The caller holds the lock.
+func (k *worker) run(key string, t *workerTask) {
+	tenure := k.tenure
+	t.phase = "running"
+	k.notify()
+	if t.job.spec.Shape == "service" {
+		return
+	}
+	t.timer = time.AfterFunc(t.job.run, func() {
+		k.hang.wait()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.checkLease()
+		if k.gone || k.tenure != tenure || k.tasks[key] != t || t.phase != "running" {
+			return
+		}
+		k.exit(t, "done")
 	})
 }
 
 // exit ends a task. The caller holds the lock.
 func (k *worker) exit(t *workerTask, cause string) {
 	t.timer.Stop()
-	if t.phase == "running" {
+	if t.isOn() {
 		k.world.taskOff(k, t, cause)
 	}
 	t.phase, t.cause = "exited", cause
@@ -400,3 +431,6 @@
 }
 
 func (t *workerTask) String() string { return fmt.Sprintf("%s try %d", t.name, t.attempt) }
+
+// isOn reports whether a task is on its machine: it has its image and has not ended.
+func (t *workerTask) isOn() bool { return t.phase == "running" || t.phase == "gathering" }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -76,6 +76,9 @@
 	jobs map[string]*job
 	on   map[string][]presence // by task: where it is
 	ran  []string              // violations of ran_twice, as they were seen
+	// gangs holds, by job and attempt, what to do for each task that waits for the others. The
+	// loss of a task of a gang that runs is not played: no case needs it.
+	gangs map[string][]func()
 }
 
 // presence is a task on a machine.
@@ -90,7 +93,7 @@
 	if err != nil {
 		cannotRun("temporary folder: %v", err)
 	}
-	w := &world{timing: t, links: make(map[string]*gate), dir: dir, jobs: make(map[string]*job), on: make(map[string][]presence)}
+	w := &world{timing: t, links: make(map[string]*gate), dir: dir, jobs: make(map[string]*job), on: make(map[string][]presence), gangs: make(map[string][]func())}
 	cleanups = append(cleanups, func() { _ = os.RemoveAll(dir) })
 	return w
 }
@@ -130,6 +133,20 @@
 	w.on[t.name] = append(w.on[t.name], presence{k.machine.ref, t.attempt, time.Now()})
 }
 
+// gather adds a task that waits for its gang. Once all tasks of the attempt wait, all begin.
+func (w *world) gather(t *workerTask, begin func()) {
+	key := fmt.Sprintf("%s#%d", t.job.spec.Ref, t.attempt)
+	w.mu.Lock()
+	w.gangs[key] = append(w.gangs[key], begin)
+	all := w.gangs[key]
+	w.mu.Unlock()
+	if len(all) == t.job.spec.Shards {
+		for _, begin := range all {
+			begin()
+		}
+	}
+}
+
 // taskOff records that a task is no longer on a machine.
 func (w *world) taskOff(k *worker, t *workerTask, why string) {
 	w.mu.Lock()
