--- a/review/standin/case_history.go
+++ b/review/standin/case_history.go
@@ -67,7 +67,7 @@
 		note("TROUBLE over: all controllers are back")
 	}
 	over := time.Now()
-	answered := 0
+	answered, up := 0, make(map[string]bool)
 	for time.Since(over) < forgottenAfter {
 		for _, ref := range []string{open.Ref, old} {
 			for _, c := range w.controllers {
@@ -77,6 +77,9 @@
 					say("RULE forgotten: %s gets 404", ref)
 					return false
 				}
+				if status != 0 {
+					up[c.name] = true
+				}
 				if status == 200 {
 					answered++
 					if answered == 1 {
@@ -90,6 +93,9 @@
 		}
 		time.Sleep(time.Second)
 	}
+	if len(up) < len(w.controllers) {
+		cannotRun("not all controllers are up")
+	}
 	if answered == 0 {
 		say("RULE forgotten: no question about the accepted job %s, or about the done job %s, is answered for %.0f s after the troubles were over", open.Ref, old, time.Since(over).Seconds())
 		return false
--- a/review/standin/gate.go
+++ b/review/standin/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -125,11 +126,20 @@
 	return listener
 }
 
-// freeAddress returns a loopback address whose port is free at the time of the call.
+// freeAddress returns a loopback address whose port is free at the time of the call, from below
+// the range of which the system takes the ports of outgoing connections: a controller opens the
+// address later, and again when it is back.
 func freeAddress() string {
-	listener := listen()
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	const lowest, count = 20_000, 10_000
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))
+		if listener, err := net.Listen("tcp4", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	cannotRun("no port is free")
+	return ""
 }
 
 // proxy forwards connections to an address over a gate.
