--- a/review/standin/chaos.go
+++ b/review/standin/chaos.go
@@ -236,6 +236,9 @@
 					time.AfterFunc(length, func() { c.signal(syscall.SIGCONT) })
 				case 1:
 					c := anyNode()
+					if !c.running() {
+						break
+					}
 					note("TROUBLE %s killed", c.name)
 					c.kill()
 					time.AfterFunc(time.Duration(rand.IntN(8000))*time.Millisecond, func() { c.start(deployRun()) })
@@ -288,6 +291,13 @@
 	return held
 }
 
+// running reports whether the controller's process was started and not ended since.
+func (c *node) running() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cmd != nil
+}
+
 func (c *node) signal(s syscall.Signal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
