Review case 1: a stale record under a newer version makes a job start twice

Adds the case (rule ran_twice) with three late answers of the state service, and keeps the results of completed tasks in the stand-in workers.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,8 @@
 	"outage-with-queue":    outageWithQueue,
 	"restart-with-history": restartWithHistory,
 	"lowered-limits":       loweredLimits,
+	"late-answers":         lateAnswers,
+	"late-answers-short":   lateAnswersShort,
 	"chaos":                chaos,
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -329,6 +329,10 @@
 		}
 		k.images[j.spec.Bundle] = true
 		k.world.taskOn(k, t)
+		if k.world.isCompleted(t.name) {
+			k.exit(t, "done") // its result is kept
+			return
+		}
 		if j.spec.Shape == "group" {
 			t.phase = "gathering"
 			t.timer = time.AfterFunc(k.world.timing.gangWait, func() {
@@ -380,6 +384,9 @@
 	if t.isOn() {
 		k.world.taskOff(k, t, cause)
 	}
+	if cause == "done" {
+		k.world.complete(t.name)
+	}
 	t.phase, t.cause = "exited", cause
 	k.notify()
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -76,6 +76,8 @@
 	jobs map[string]*job
 	on   map[string][]presence // by task: where it is
 	ran  []string              // violations of ran_twice, as they were seen
+	// completed holds the tasks whose results are kept.
+	completed map[string]bool
 	// gangs holds, by job and attempt, what to do for each task that waits for the others. The
 	// loss of a task of a gang that runs is not played: no case needs it.
 	gangs map[string][]func()
@@ -93,7 +95,7 @@
 	if err != nil {
 		cannotRun("temporary folder: %v", err)
 	}
-	w := &world{timing: t, links: make(map[string]*gate), dir: dir, jobs: make(map[string]*job), on: make(map[string][]presence), gangs: make(map[string][]func())}
+	w := &world{timing: t, links: make(map[string]*gate), dir: dir, jobs: make(map[string]*job), on: make(map[string][]presence), completed: make(map[string]bool), gangs: make(map[string][]func())}
 	cleanups = append(cleanups, func() { _ = os.RemoveAll(dir) })
 	return w
 }
@@ -161,6 +163,19 @@
 	}
 }
 
+// complete records that a task has completed. Its result is kept.
+func (w *world) complete(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.completed[task] = true
+}
+
+func (w *world) isCompleted(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.completed[task]
+}
+
 // tasksOf lists where the tasks of a job are.
 func (w *world) tasksOf(ref string) []string {
 	w.mu.Lock()
