Review: the random player plays more kinds of troubles

Late copies of reports, machines that begin again under their name, are deaf, mute or taken, gangs that lose a task, a cloud that is down or loses calls; a player of random pipelines with late answers. Case 1 waits until all machines have an owner.

--- a/review/standin/case_late.go
+++ b/review/standin/case_late.go
@@ -91,10 +91,27 @@
 		w.cloud.add(small, []string{north, south}[i%2], false, 0)
 	}
 	w.startAll()
-	time.Sleep(5 * time.Second)
+	waitFor("all machines have an owner", 20*time.Second, func() bool { return w.owned() == lateMachines })
+	time.Sleep(2500 * time.Millisecond)
 	return w, late
 }
 
+// owned counts the machines whose workers have got a token.
+func (w *world) owned() (count int) {
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	for _, m := range w.cloud.machines {
+		if m.worker != nil {
+			m.worker.mu.Lock()
+			if m.worker.baton > 0 {
+				count++
+			}
+			m.worker.mu.Unlock()
+		}
+	}
+	return count
+}
+
 // playPipeline submits a job and, once it runs, a second one that awaits it; the first one ends
 // just after the second one is stored. It returns the second one's name once it was accepted.
 func (w *world) playPipeline(i int, late *lateness, trouble bool, second submission, run time.Duration) string {
--- a/review/standin/chaos.go
+++ b/review/standin/chaos.go
@@ -76,6 +76,34 @@
 		}
 		return true, time.Duration(2000+rand.IntN(14_000)) * time.Millisecond
 	}
+	copiesUntil := time.Time{}
+	w.copyReport = func() (bool, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Now().After(copiesUntil) || rand.IntN(3) > 0 {
+			return false, 0
+		}
+		return true, time.Duration(2000+rand.IntN(28_000)) * time.Millisecond
+	}
+	cloudUntil := time.Time{}
+	w.cloud.loseCall = func() (bool, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Now().After(cloudUntil) || rand.IntN(3) > 0 {
+			return false, 0
+		}
+		return true, time.Duration(rand.IntN(15_000)) * time.Millisecond
+	}
+	anyWorker := func() *worker {
+		w.cloud.mu.Lock()
+		defer w.cloud.mu.Unlock()
+		for range 20 {
+			if m := w.cloud.machines[rand.IntN(len(w.cloud.machines))]; m.worker != nil && m.goneAt.IsZero() {
+				return m.worker
+			}
+		}
+		return nil
+	}
 	var wg sync.WaitGroup
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
@@ -197,6 +225,9 @@
 				if rand.IntN(6) == 0 && !pipelines {
 					first.Shape, first.ExpectS = "service", 0
 				}
+				if rand.IntN(4) == 0 && !pipelines {
+					first.Shape, first.Shards, first.CPUs, first.SamePlace = "group", 2+rand.IntN(12), float64(2+rand.IntN(7)), rand.IntN(2) == 0
+				}
 				cancelAfter := time.Duration(0)
 				if first.Shape == "service" || (rand.IntN(5) == 0 && !pipelines) {
 					cancelAfter = time.Duration(1+rand.IntN(15)) * time.Second
@@ -228,7 +259,7 @@
 			for time.Now().Before(end.Add(-20 * time.Second)) {
 				time.Sleep(time.Duration(2+rand.IntN(8)) * time.Second)
 				length := time.Duration(1+rand.IntN(25)) * time.Second
-				switch rand.IntN(9) {
+				switch rand.IntN(16) {
 				case 0:
 					c := anyNode()
 					note("TROUBLE %s stands still for %v", c.name, length)
@@ -271,6 +302,41 @@
 					note("TROUBLE the state service refuses %s for %v", w.controllers[i].name, length)
 					w.state.refuse(i, true)
 					time.AfterFunc(length, func() { w.state.refuse(i, false) })
+				case 9:
+					note("TROUBLE copies of reports arrive late for %v", length)
+					mu.Lock()
+					copiesUntil = time.Now().Add(length)
+					mu.Unlock()
+				case 10:
+					for range 1 + rand.IntN(2) {
+						if k := anyWorker(); k != nil {
+							note("TROUBLE machine %s begins again", k.machine.ref)
+							k.beginAgain()
+						}
+					}
+				case 11, 12:
+					k := anyWorker()
+					if k == nil {
+						break
+					}
+					deaf := rand.IntN(2) == 0
+					note("TROUBLE machine %s is deaf (%v) or mute for %v", k.machine.ref, deaf, length)
+					k.mu.Lock()
+					k.deaf, k.mute = deaf, !deaf
+					k.mu.Unlock()
+					time.AfterFunc(length, func() {
+						k.mu.Lock()
+						defer k.mu.Unlock()
+						k.deaf, k.mute = false, false
+					})
+				case 13:
+					if k := anyWorker(); k != nil {
+						note("TROUBLE machine %s is taken", k.machine.ref)
+						w.cloud.mu.Lock()
+						k.machine.goneAt = time.Now()
+						w.cloud.mu.Unlock()
+						k.end()
+					}
 				case 5:
 					length *= 2
 					w.cloud.mu.Lock()
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -46,7 +46,12 @@
 	listLag  time.Duration
 	capacity int // machines that may still be rented of each type, zone and kind
 
+	// loseCall tells whether a call gets no answer, and by how much it is carried out late; nil:
+	// none does.
+	loseCall func() (lost bool, late time.Duration)
+
 	mu       sync.Mutex
+	down     bool
 	machines []*machine
 	hires    map[string][]string
 	requests bucket
@@ -79,7 +84,17 @@
 	if err != nil {
 		return
 	}
+	lost := false
+	if c.loseCall != nil {
+		var late time.Duration
+		if lost, late = c.loseCall(); lost {
+			time.Sleep(late)
+		}
+	}
 	status, answer := c.execute(r, body)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(encode(answer))
@@ -88,6 +103,9 @@
 func (c *cloud) execute(r *http.Request, body []byte) (int, any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.down {
+		return 503, object{"error": "trouble"}
+	}
 	if !c.requests.take(1) {
 		return 429, object{}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	"lowered-limits":       loweredLimits,
 	"late-answers":         lateAnswers,
 	"late-answers-short":   lateAnswersShort,
+	"late-answers-random":  lateAnswersRandom,
 	"chaos":                chaos,
 }
 
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -238,6 +239,9 @@
 }
 
 func encode(v any) []byte {
+	if raw, ok := v.(json.RawMessage); ok {
+		return raw
+	}
 	raw, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
@@ -305,20 +309,23 @@
 	if found && from != "" {
 		at++
 	}
-	items, size, truncated := []object{}, 0, false
+	page, items, size, truncated := []byte(`{"items":[`), 0, 0, false
 	for _, key := range s.sorted[at:] {
 		if !strings.HasPrefix(key, under) {
 			break
 		}
 		stored := s.keys[key]
 		size += len(stored.value) + len(key) + 64
-		if len(items) == most || size > 512<<10 {
+		if items == most || size > 512<<10 {
 			truncated = true
 			break
 		}
-		items = append(items, object{"key": key, "value": stored.value, "stamp": stored.stamp})
+		if items++; items > 1 {
+			page = append(page, ',')
+		}
+		page = fmt.Appendf(page, `{"key":%q,"value":%s,"stamp":%d}`, key, stored.value, stored.stamp)
 	}
-	return 200, object{"items": items, "truncated": truncated, "epoch": s.epoch}
+	return 200, json.RawMessage(fmt.Appendf(page, `],"truncated":%t,"epoch":%d}`, truncated, s.epoch))
 }
 
 // watch waits for changes. Open watches stay open, and silent, through an outage.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -35,6 +35,19 @@
 	tokenShownAt time.Time
 	server       *http.Server
 	hang         *gate // closed while the machine hangs
+	deaf, mute   bool  // answers and direct commands are lost; reports reach no controller
+	begun        int   // how often the machine began again under its name
+}
+
+// beginAgain lets the machine begin again under its name, with nothing on it.
+func (k *worker) beginAgain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.killAll("machine begins again")
+	k.begun++
+	k.tenure, k.tick, k.baton, k.images = 1, 0, 0, make(map[string]bool)
+	k.renewedAt, k.tokenShownAt = time.Now(), time.Time{}
+	k.notify()
 }
 
 type workerTask struct {
@@ -207,6 +220,23 @@
 // send sends a report and handles the answer. It returns after which time the worker reports
 // again at the node it has changed to; 0 if it stays.
 func (k *worker) send(client *http.Client, node int, r report, sentAt time.Time) time.Duration {
+	k.mu.Lock()
+	begun, mute := k.begun, k.mute
+	k.mu.Unlock()
+	if mute {
+		time.Sleep(answerWithin)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.checkLease()
+		k.node = (node + 1) % len(k.world.controllers)
+		return time.Second
+	}
+	if k.world.copyReport != nil {
+		if copied, late := k.world.copyReport(); copied {
+			to := k.world.controllers[rand.IntN(len(k.world.controllers))]
+			time.AfterFunc(late, func() { k.world.ask(to, "POST", "/v1/report", encode(r), answerWithin) })
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
 	defer cancel()
 	request, _ := http.NewRequestWithContext(ctx, "POST", "http://"+k.world.controllers[node].publicAddr+"/v1/report", bytes.NewReader(encode(r)))
@@ -222,6 +252,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.checkLease()
+	if k.begun != begun {
+		return 0
+	}
+	if k.deaf {
+		status = 0
+	}
 	if status != 200 {
 		note("worker %s: report to %s: %d %s", k.machine.ref, k.world.controllers[node].name, status, body)
 	}
@@ -328,11 +364,12 @@
 			return
 		}
 		k.images[j.spec.Bundle] = true
-		k.world.taskOn(k, t)
 		if k.world.isCompleted(t.name) {
-			k.exit(t, "done") // its result is kept
+			note("run: %s has its image on %s; its result was kept", t, k.machine.ref)
+			k.exit(t, "done")
 			return
 		}
+		k.world.taskOn(k, t)
 		if j.spec.Shape == "group" {
 			t.phase = "gathering"
 			t.timer = time.AfterFunc(k.world.timing.gangWait, func() {
@@ -350,6 +387,13 @@
 					t.timer.Stop()
 					k.run(key, t)
 				}
+			}, func() {
+				k.hang.wait()
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				if k.tasks[key] == t && t.isOn() {
+					k.exit(t, "peers")
+				}
 			})
 			k.notify()
 			return
@@ -407,7 +451,7 @@
 	k.hang.wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.gone {
+	if k.gone || k.deaf {
 		panic(http.ErrAbortHandler)
 	}
 	k.checkLease()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -71,6 +72,9 @@
 	// loseCommand tells whether a direct command gets no answer, and by how much it is carried
 	// out late; nil: none does.
 	loseCommand func() (lost bool, late time.Duration)
+	// copyReport tells whether a copy of a report arrives again, and after which time; nil: none
+	// does.
+	copyReport func() (copied bool, late time.Duration)
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -78,9 +82,9 @@
 	ran  []string              // violations of ran_twice, as they were seen
 	// completed holds the tasks whose results are kept.
 	completed map[string]bool
-	// gangs holds, by job and attempt, what to do for each task that waits for the others. The
-	// loss of a task of a gang that runs is not played: no case needs it.
-	gangs map[string][]func()
+	// gangs holds, by job and attempt, the tasks of gangs that wait or run. If a task of a gang
+	// that runs is gone, the others exit with "peers".
+	gangs map[string]*gang
 }
 
 // presence is a task on a machine.
@@ -95,7 +99,7 @@
 	if err != nil {
 		cannotRun("temporary folder: %v", err)
 	}
-	w := &world{timing: t, links: make(map[string]*gate), dir: dir, jobs: make(map[string]*job), on: make(map[string][]presence), completed: make(map[string]bool), gangs: make(map[string][]func())}
+	w := &world{timing: t, links: make(map[string]*gate), dir: dir, jobs: make(map[string]*job), on: make(map[string][]presence), completed: make(map[string]bool), gangs: make(map[string]*gang)}
 	cleanups = append(cleanups, func() { _ = os.RemoveAll(dir) })
 	return w
 }
@@ -135,16 +139,47 @@
 	w.on[t.name] = append(w.on[t.name], presence{k.machine.ref, t.attempt, time.Now()})
 }
 
+// gang is one attempt of a gang: what to do for each task when all wait, and when one is lost.
+type gang struct {
+	begin, lose map[string]func()
+	runs        bool
+}
+
+func gangKey(t *workerTask) string { return fmt.Sprintf("%s#%d", t.job.spec.Ref, t.attempt) }
+
 // gather adds a task that waits for its gang. Once all tasks of the attempt wait, all begin.
-func (w *world) gather(t *workerTask, begin func()) {
-	key := fmt.Sprintf("%s#%d", t.job.spec.Ref, t.attempt)
+func (w *world) gather(t *workerTask, begin, lose func()) {
 	w.mu.Lock()
-	w.gangs[key] = append(w.gangs[key], begin)
-	all := w.gangs[key]
+	g := w.gangs[gangKey(t)]
+	if g == nil {
+		g = &gang{begin: make(map[string]func()), lose: make(map[string]func())}
+		w.gangs[gangKey(t)] = g
+	}
+	g.begin[t.name], g.lose[t.name] = begin, lose
+	var all []func()
+	if len(g.begin) == t.job.spec.Shards && !g.runs {
+		g.runs = true
+		for _, begin := range g.begin {
+			all = append(all, begin)
+		}
+	}
 	w.mu.Unlock()
-	if len(all) == t.job.spec.Shards {
-		for _, begin := range all {
-			begin()
+	for _, begin := range all {
+		begin()
+	}
+}
+
+// leaveGang removes a task that is gone from its gang. The caller holds the lock.
+func (w *world) leaveGang(t *workerTask, why string) {
+	g := w.gangs[gangKey(t)]
+	if g == nil || g.begin[t.name] == nil {
+		return
+	}
+	delete(g.begin, t.name)
+	delete(g.lose, t.name)
+	if g.runs && why != "done" {
+		for _, lose := range g.lose {
+			time.AfterFunc(time.Duration(rand.Int64N(int64(w.timing.gangPeer))), lose)
 		}
 	}
 }
@@ -154,6 +189,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	note("run: %s ends on %s: %s", t, k.machine.ref, why)
+	if t.job.spec.Shape == "group" {
+		w.leaveGang(t, why)
+	}
 	list := w.on[t.name]
 	for i, p := range list {
 		if p.host == k.machine.ref && p.attempt == t.attempt {
