--- a/review/standin/case_history.go
+++ b/review/standin/case_history.go
@@ -54,6 +54,10 @@
 		cannotRun("the job was not accepted")
 	}
 	waitFor("the job runs", 15*time.Second, func() bool { return len(w.tasksOf(open.Ref)) == 2 })
+	if os.Getenv("ROLL") == "1" { // no case: it takes longer than 120 s
+		w.roll()
+		trouble = false
+	}
 	if trouble {
 		note("TROUBLE: all controllers crash, each is back after %v", restartDelay)
 		for _, c := range w.controllers {
@@ -104,6 +108,32 @@
 	return true
 }
 
+// roll restarts the controllers one after the other, every 25 s, while users ask about jobs.
+func (w *world) roll() {
+	const every = 25 * time.Second
+	for i := range 40 {
+		go func() {
+			for n := i; ; n += 40 {
+				c := w.controllers[n%len(w.controllers)]
+				w.poll(c, fmt.Sprintf("wk-%06d", 1+n%2*900_000)) // the open job, or one that nobody submitted
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+	for _, c := range w.controllers {
+		note("TROUBLE: %s is restarted, and is back after %v", c.name, restartDelay)
+		c.kill()
+		time.Sleep(restartDelay)
+		c.start(deployRun())
+		time.Sleep(every - restartDelay)
+		for _, c := range w.controllers {
+			status, _ := w.ask(c, "GET", "/ready", nil, time.Second)
+			note("%s: /ready %d", c.name, status)
+		}
+	}
+	note("TROUBLE over: all controllers were restarted")
+}
+
 // waitReady waits until a controller is ready.
 func (w *world) waitReady(c *node, within time.Duration) {
 	waitFor(c.name+" is ready", within, func() bool {
--- a/review/standin/case_late.go
+++ b/review/standin/case_late.go
@@ -117,6 +117,9 @@
 func (w *world) playPipeline(i int, late *lateness, trouble bool, second submission, run time.Duration) string {
 	first := submission{Ref: fmt.Sprintf("wk-%06d", 2*i+1), Jobclass: "halteverbot", Owner: "leitstelle", Shape: "sweep", Rank: "normal", Shards: 1, CPUs: 1, MemGb: 3.2, Bundle: "img-1", SizeGb: 1, ExpectS: 15, Loaner: true}
 	second.Ref, second.Awaits = fmt.Sprintf("wk-%06d", 2*i+2), []string{first.Ref}
+	if second.Bundle != first.Bundle {
+		second.Bundle = fmt.Sprintf("img-%d", i+2) // no machine has it yet
+	}
 	// The second job is accepted by the controller to which the fewest workers report, and the
 	// first one runs at the last of the others.
 	reports := w.reports()
@@ -132,6 +135,14 @@
 	}
 	third := len(w.controllers) - accepting - owner
 	note("workers that report to each controller: %v", reports)
+	if i == 0 {
+		// An array that runs on at the first job's controller, so that its shard is not idle.
+		other := submission{Ref: "wk-009999", Jobclass: "touren", Owner: "leitstelle", Shape: "sweep", Rank: "normal", Shards: 1, CPUs: 2, MemGb: 4.6, Bundle: "img-1", SizeGb: 1, ExpectS: 25, Loaner: true}
+		if _, ok := w.submit(w.controllers[owner], other, time.Hour); !ok {
+			cannotRun("an array was not accepted")
+		}
+		waitFor("an array runs", 20*time.Second, func() bool { return w.hostOf(other.Ref+"/0") != "" })
+	}
 	if _, ok := w.submit(w.controllers[owner], first, time.Hour); !ok {
 		cannotRun("the first job was not accepted")
 	}
--- a/review/standin/chaos.go
+++ b/review/standin/chaos.go
@@ -31,6 +31,26 @@
 	w.cloud.add(big, south, false, 0)
 	w.cloud.add(small, north, false, 0)
 	w.cloud.add(small, south, false, 0)
+	// CHAOS_OLD=PROGRAM: the controllers begin with this older program and are replaced one after
+	// the other.
+	upgraded := time.Now()
+	if old := os.Getenv("CHAOS_OLD"); old != "" {
+		upgraded = upgraded.Add(100 * time.Second)
+		for i, c := range w.controllers {
+			c.old = old
+			time.AfterFunc(time.Duration(45+25*i)*time.Second, func() {
+				note("TROUBLE upgrade of %s", c.name)
+				c.kill()
+				c.mu.Lock()
+				c.old = ""
+				c.mu.Unlock()
+				time.Sleep(3 * time.Second)
+				if !c.running() {
+					c.start(deployRun())
+				}
+			})
+		}
+	}
 	w.startAll()
 	time.Sleep(3 * time.Second)
 	seconds, _ := strconv.Atoi(os.Getenv("CHAOS_S"))
@@ -241,7 +261,7 @@
 				}
 				deps := []string{first.Ref}
 				wg.Go(func() { follow(first.Ref, nil, cancelAfter) })
-				if first.Shape == "service" || (rand.IntN(2) == 0 && !pipelines) {
+				if first.Shape == "service" || (rand.IntN(2) == 0 && !pipelines) || time.Now().Before(upgraded) {
 					return
 				}
 				time.Sleep(time.Duration(rand.Int64N(int64(runs + 2*time.Second))))
@@ -272,7 +292,11 @@
 					}
 					note("TROUBLE %s killed", c.name)
 					c.kill()
-					time.AfterFunc(time.Duration(rand.IntN(8000))*time.Millisecond, func() { c.start(deployRun()) })
+					time.AfterFunc(time.Duration(rand.IntN(8000))*time.Millisecond, func() {
+						if !c.running() {
+							c.start(deployRun())
+						}
+					})
 				case 2:
 					length = min(length, 15*time.Second)
 					note("TROUBLE state outage for %v", length)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,7 +39,7 @@
 		cannotRun("ended by a signal")
 	}()
 	go func() {
-		if *name == "chaos" {
+		if *name == "chaos" || os.Getenv("ROLL") == "1" {
 			return
 		}
 		time.Sleep(115 * time.Second)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -57,6 +57,7 @@
 	name, zone           string
 	publicAddr, peerAddr string
 	settings, log        string
+	old                  string // the program of an older version that is started instead; empty: none
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -288,7 +289,11 @@
 		cannotRun("%v", err)
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(run[0], append(run[1:len(run):len(run)], c.settings)...)
+	program := run[0]
+	if c.old != "" {
+		program = c.old
+	}
+	cmd := exec.Command(program, append(run[1:len(run):len(run)], c.settings)...)
 	cmd.Stderr = log
 	level := os.Getenv("STANDIN_LOG")
 	if level == "" {
