Controllers log their access to the state service and the report that decides it

From the code the report is a flag in other controllers' messages; which of the four kinds of messages it came from, and when, was not recorded.

Change: each change of the access is logged once (served, down, refused alone), with the time since the last executed call, the other controller whose report counts, the kind of message that contained the report, and the report's age. What the decision needs stands in one file, stateaccess.go; the decision itself is unchanged.

--- a/internal/coordination/controller/admission.go
+++ b/internal/coordination/controller/admission.go
@@ -43,22 +43,6 @@
 	return backlog
 }
 
-// isStateServingOthers reports whether the state service serves other controllers and not
-// this one. Such a controller refuses every user at once and thus has the fewest open
-// connections, so the load balancer sends it more and more users for as long as it reports
-// that it is ready.
-func (c *Controller) isStateServingOthers(now time.Time) bool {
-	if !c.isStateDown(now) {
-		return false
-	}
-	for _, reachedAt := range c.membership.stateReachableAt {
-		if now.Sub(reachedAt) < peerStatusTTL {
-			return true
-		}
-	}
-	return false
-}
-
 // retryLater returns the response that refuses a user's request for now. The user should
 // retry soon if another controller can serve the request, else once the backlog should have
 // drained.
--- a/internal/coordination/controller/cancellations.go
+++ b/internal/coordination/controller/cancellations.go
@@ -34,10 +34,6 @@
 // arrived: controllers send one another a message every second.
 const peerContactTime = 2500 * time.Millisecond
 
-// refusedAloneAfter is the time in which the state service must have executed no call of this
-// controller, while it serves others, for isRefusedAlone to hold.
-const refusedAloneAfter = 4 * time.Second
-
 // cancellationPass collects the returns and probes that one pass over the cancelled jobs finds
 // to be due.
 type cancellationPass struct {
@@ -140,7 +136,7 @@
 		Unanswered: unansweredAt.After(job.FinalAt) && unansweredAt.After(machine.Agent.LastContact)}
 	if shard := c.view.Shards[machine.Record.Shard]; shard != nil && shard.Record != nil {
 		owner := shard.Record.Owner
-		task.OwnerNotified = now.Sub(job.NotifiedAt[owner]) < notifiedTTL || now.Sub(c.membership.stateReachableAt[owner]) < peerStatusTTL
+		task.OwnerNotified = now.Sub(job.NotifiedAt[owner]) < notifiedTTL || c.stateReports.isServed(owner, now)
 	}
 	if machine.Agent.LastContact.After(job.FinalAt) {
 		task.Finding = findingOf(machine.Agent.Tasks[slot.TaskName], slot)
@@ -223,13 +219,6 @@
 	return stops
 }
 
-// isRefusedAlone reports whether the state service serves other controllers and has executed
-// no call of this one for refusedAloneAfter. In that case the next owner of this controller's
-// shards returns the machines, with a record.
-func (c *Controller) isRefusedAlone(now time.Time) bool {
-	return now.Sub(c.store.LastSuccess()) >= refusedAloneAfter && c.isStateServingOthers(now)
-}
-
 // returnUnrecorded returns machines whose return could not be recorded. As for any return, the
 // cloud's status 200 proves that they are gone. A call that is executed late or twice, or that
 // a controller makes which no longer owns the shard, removes a machine that had a cancelled task when
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -40,6 +40,7 @@
 	ctx             context.Context // passed to Run; ends with the process
 	view            *replica.View
 	membership      membership
+	stateReports    stateReports
 	leadership      leadership
 	shardLoads      shardLoads
 	preemptions     preemptions
@@ -62,17 +63,15 @@
 // membership holds this process's lease and what the other controllers report in messages,
 // by the sender's name.
 type membership struct {
-	lease            kv.LeaseID             // lease of this process; 0: none
-	lastContact      map[string]time.Time   // by controller: when its last message arrived
-	stateReachableAt map[string]time.Time   // by controller: when it last reported that it reaches the state service
-	backlogs         map[string]peerBacklog // by controller: the number of changes queued there, as it last reported
+	lease       kv.LeaseID             // lease of this process; 0: none
+	lastContact map[string]time.Time   // by controller: when its last message arrived
+	backlogs    map[string]peerBacklog // by controller: the number of changes queued there, as it last reported
 }
 
 func newMembership() membership {
 	return membership{
-		lastContact:      make(map[string]time.Time),
-		stateReachableAt: make(map[string]time.Time),
-		backlogs:         make(map[string]peerBacklog),
+		lastContact: make(map[string]time.Time),
+		backlogs:    make(map[string]peerBacklog),
 	}
 }
 
@@ -137,6 +136,7 @@
 		ctx:             context.Background(),
 		cloudLimiter:    rate.NewLimiter(rate.Limit(cloudRate), cloudBurst),
 		membership:      newMembership(),
+		stateReports:    newStateReports(),
 		shardLoads:      newShardLoads(),
 		preemptions:     newPreemptions(),
 		provisioner:     newProvisioner(),
--- a/internal/coordination/controller/failuredetection.go
+++ b/internal/coordination/controller/failuredetection.go
@@ -75,17 +75,6 @@
 	return health.FenceDelay(usual, c.policy.FencePartitionedAfter, c.isPartitioned(machine.Record.Zone, now))
 }
 
-// stateDownAfter is the time without any executed call after which the state service counts as
-// down, so that requests of users fail at once rather than at their deadlines. It is longer
-// than the time between two renewals of a lease.
-const stateDownAfter = 2500 * time.Millisecond
-
-// isStateDown reports whether the state service has executed no call of this controller for
-// longer than stateDownAfter, because of an outage or of a fault of this controller.
-func (c *Controller) isStateDown(now time.Time) bool {
-	return now.Sub(c.store.LastSuccess()) > stateDownAfter
-}
-
 // hasNoContact reports whether this controller has recently had contact neither with the state
 // service nor with another controller, so that its view may lack changes, such as
 // cancellations, that other controllers have confirmed to users.
--- a/internal/coordination/controller/peers.go
+++ b/internal/coordination/controller/peers.go
@@ -20,9 +20,6 @@
 	peerInterval = time.Second + 59*time.Nanosecond
 	// peerCallTimeout bounds one call to another controller.
 	peerCallTimeout = 900 * time.Millisecond
-	// stateReachableTTL is how long the state service counts as reachable after the last
-	// successful call.
-	stateReachableTTL = 1500 * time.Millisecond
 	// loadCacheTTL is how long the owner of a shard reuses a computed load of the shard.
 	loadCacheTTL = 200 * time.Millisecond
 	// maxRepeatedCancellations bounds the cancellations that are repeated in one message.
@@ -118,7 +115,7 @@
 			if shard == nil || shard.Record == nil || shard.Record.Owner == c.settings.NodeName {
 				continue
 			}
-			if now.Sub(c.membership.stateReachableAt[shard.Record.Owner]) > peerStatusTTL {
+			if !c.stateReports.isServed(shard.Record.Owner, now) {
 				return true
 			}
 		}
@@ -248,9 +245,7 @@
 			c.wake()
 		}
 	}
-	if message.StateReachable {
-		c.membership.stateReachableAt[message.From] = now
-	}
+	c.stateReports.observe(message, now)
 }
 
 // observeLoads records the loads of the sender's shards, and gives up shards that the sender
--- a/internal/coordination/controller/probes.go
+++ b/internal/coordination/controller/probes.go
@@ -31,6 +31,7 @@
 		c.mu.Lock()
 		now := time.Now()
 		c.observePause(now)
+		c.logStateAccess(now)
 		c.detectPartitions(now)
 		for _, name := range c.view.ShardNames() {
 			if shard := c.view.Shards[name]; c.view.IsActive(shard) {
--- /dev/null
+++ b/internal/coordination/controller/stateaccess.go
@@ -0,0 +1,153 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"madderslip/internal/protocol"
+)
+
+const (
+	// stateDownAfter is the time without any executed call after which the state service counts as
+	// down, so that requests of users fail at once rather than at their deadlines. It is longer
+	// than the time between two renewals of a lease.
+	stateDownAfter = 2500 * time.Millisecond
+	// stateReachableTTL is how long the state service counts as reachable after the last
+	// successful call.
+	stateReachableTTL = 1500 * time.Millisecond
+	// refusedAloneAfter is the time in which the state service must have executed no call of this
+	// controller, while it serves others, for isRefusedAlone to hold.
+	refusedAloneAfter = 4 * time.Second
+)
+
+// access is a controller's access to the state service, as it appears to that controller.
+type access string
+
+// The values of access, as the log shows them.
+const (
+	accessServed  access = "served"        // a recent call of this controller was executed
+	accessDown    access = "down"          // no recent call was executed, and no other controller reports that it is served
+	accessRefused access = "refused alone" // no recent call was executed, and another controller reports that it is served
+)
+
+// messageKind is the occasion of a message between controllers.
+type messageKind string
+
+// The kinds of messages, as the log shows them.
+const (
+	messagePeriodic messageKind = "periodic"
+	messageDemands  messageKind = "demands"
+	messageIntents  messageKind = "intents"
+	messageUpdates  messageKind = "updates"
+)
+
+// messageKindOf returns the kind of a message.
+func messageKindOf(message *protocol.PeerMessage) messageKind {
+	switch {
+	case message.Periodic:
+		return messagePeriodic
+	case message.DemandsComplete:
+		return messageDemands
+	case len(message.ClaimIntents)+len(message.PreemptionIntents) > 0:
+		return messageIntents
+	}
+	return messageUpdates
+}
+
+// stateReport is a report of another controller that the state service serves it.
+type stateReport struct {
+	at   time.Time // when the report arrived
+	kind messageKind
+}
+
+// stateReports holds what the other controllers report about the state service, and the access
+// that was logged last.
+type stateReports struct {
+	byNode map[string]stateReport // by controller: its last report that it is served
+	logged access
+}
+
+func newStateReports() stateReports {
+	return stateReports{byNode: make(map[string]stateReport), logged: accessServed}
+}
+
+// observe records what a message reports about its sender's access to the state service.
+func (r *stateReports) observe(message *protocol.PeerMessage, now time.Time) {
+	if message.StateReachable {
+		r.byNode[message.From] = stateReport{at: now, kind: messageKindOf(message)}
+	}
+}
+
+// isServed reports whether a controller has reported within peerStatusTTL that it is served.
+func (r *stateReports) isServed(node string, now time.Time) bool {
+	return now.Sub(r.byNode[node].at) < peerStatusTTL
+}
+
+// served returns a controller that has reported within peerStatusTTL that it is served, or "".
+func (r *stateReports) served(now time.Time) string {
+	for _, node := range slices.Sorted(maps.Keys(r.byNode)) {
+		if r.isServed(node, now) {
+			return node
+		}
+	}
+	return ""
+}
+
+// isStateDown reports whether the state service has executed no call of this controller for
+// longer than stateDownAfter, because of an outage or of a fault of this controller.
+func (c *Controller) isStateDown(now time.Time) bool {
+	return now.Sub(c.store.LastSuccess()) > stateDownAfter
+}
+
+// isStateServingOthers reports whether the state service serves other controllers and not
+// this one. Such a controller refuses every user at once and thus has the fewest open
+// connections, so the load balancer sends it more and more users for as long as it reports
+// that it is ready.
+func (c *Controller) isStateServingOthers(now time.Time) bool {
+	return c.isStateDown(now) && c.stateReports.served(now) != ""
+}
+
+// isRefusedAlone reports whether the state service serves other controllers and has executed
+// no call of this one for refusedAloneAfter. In that case the next owner of this controller's
+// shards returns the machines, with a record.
+func (c *Controller) isRefusedAlone(now time.Time) bool {
+	return now.Sub(c.store.LastSuccess()) >= refusedAloneAfter && c.isStateServingOthers(now)
+}
+
+// stateAccess returns this controller's access to the state service.
+func (c *Controller) stateAccess(now time.Time) access {
+	switch {
+	case !c.isStateDown(now):
+		return accessServed
+	case c.isStateServingOthers(now):
+		return accessRefused
+	}
+	return accessDown
+}
+
+// logStateAccess logs each change of this controller's access to the state service, with the
+// report of another controller that distinguishes a refusal of this controller alone from an
+// outage.
+func (c *Controller) logStateAccess(now time.Time) {
+	current := c.stateAccess(now)
+	if current == c.stateReports.logged {
+		return
+	}
+	c.stateReports.logged = current
+	node := c.stateReports.served(now)
+	report, age := c.stateReports.byNode[node], time.Duration(0)
+	if node != "" {
+		age = now.Sub(report.at)
+	}
+	c.log.Info("state service access changed", "access", string(current), "idle", now.Sub(c.lastServedAt()), "node", node, "report", string(report.kind), "age", age)
+}
+
+// lastServedAt returns when the state service last executed a call of this process, or when the
+// process started if there was no such call.
+func (c *Controller) lastServedAt() time.Time {
+	if last := c.store.LastSuccess(); last.After(c.startedAt) {
+		return last
+	}
+	return c.startedAt
+}
