Messages report the state service as reachable only if the sender observed it

A cancelled task behind a zone's cut outlived an outage of the state service while another job of its team waited for the limit, and the controllers outside the zone answered /ready with 503 throughout.

Cause: whether a controller is refused alone is decided by what others report. The message of each second reported observed access; messages with demands, intents and updates reported it without looking. In an outage two controllers with waiting jobs each took the other for served, and neither returned the machine.

Fix: newPeerMessage builds every message, and sets the flag from the last executed call.

Scripts can expect the number of ready controllers.

--- a/internal/coordination/controller/limits.go
+++ b/internal/coordination/controller/limits.go
@@ -260,7 +260,9 @@
 	demands := c.view.Quota.Demands(now)
 	if (len(demands) > 0 || c.demandBroadcast.hadDemands) && now.Sub(c.demandBroadcast.broadcastAt) >= demandInterval {
 		c.demandBroadcast.hadDemands, c.demandBroadcast.broadcastAt = len(demands) > 0, now
-		c.broadcast(c.ctx, protocol.PeerMessage{From: c.settings.NodeName, StateReachable: true, Demands: demands, DemandsComplete: true})
+		message := c.newPeerMessage()
+		message.Demands, message.DemandsComplete = demands, true
+		c.broadcast(c.ctx, message)
 	}
 	for _, transfer := range c.view.Quota.DueTransfers(c.transferCondition, now) {
 		c.log.Debug("allotment transferred", "team", transfer.Team, "from", transfer.From, "to", transfer.To, "cpus", transfer.Amount.CPUs, "gpus", transfer.Amount.GPUs)
--- a/internal/coordination/controller/peers.go
+++ b/internal/coordination/controller/peers.go
@@ -41,10 +41,12 @@
 	}
 }
 
-// newPeerMessage returns a message with key updates. It reports the state service as
-// reachable, since updates are sent right after a commit.
+// newPeerMessage returns a message with key updates. Every message is built here, so that each
+// reports the state service as reachable only if this controller has observed it
+// (TestMessagesReportObservedStateAccess).
 func (c *Controller) newPeerMessage(updates ...protocol.KeyUpdate) protocol.PeerMessage {
-	return protocol.PeerMessage{From: c.settings.NodeName, StateReachable: true, Updates: updates}
+	isReachable := time.Since(c.store.LastSuccess()) < stateReachableTTL
+	return protocol.PeerMessage{From: c.settings.NodeName, StateReachable: isReachable, Updates: updates}
 }
 
 // newKeyUpdate returns a record in the form in which controllers exchange it, and reports
@@ -58,7 +60,6 @@
 // be repeated, its demands for allotments, and the loads of its shards.
 func (c *Controller) statusMessage() protocol.PeerMessage {
 	message := c.newPeerMessage()
-	message.StateReachable = time.Since(c.store.LastSuccess()) < stateReachableTTL
 	message.Periodic = true
 	message.PendingChanges, _ = c.store.Backlog(kv.PriorityBackground)
 	message.Updates = c.repeatedCancellations(time.Now())
--- a/internal/coordination/controller/workloop.go
+++ b/internal/coordination/controller/workloop.go
@@ -8,7 +8,6 @@
 
 	"madderslip/internal/coordination/admission"
 	"madderslip/internal/coordination/replica"
-	"madderslip/internal/protocol"
 	"madderslip/internal/storage/kv"
 	"madderslip/internal/storage/records"
 )
@@ -110,7 +109,9 @@
 	if len(c.claimIntents)+len(c.preemptions.intents) == 0 {
 		return
 	}
-	c.broadcast(c.ctx, protocol.PeerMessage{From: c.settings.NodeName, StateReachable: true, ClaimIntents: c.claimIntents, PreemptionIntents: c.preemptions.intents})
+	message := c.newPeerMessage()
+	message.ClaimIntents, message.PreemptionIntents = c.claimIntents, c.preemptions.intents
+	c.broadcast(c.ctx, message)
 	c.claimIntents, c.preemptions.intents = nil, nil
 }
 
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -9,13 +9,17 @@
 	"madderslip/internal/transport"
 )
 
-// submissionsPath is the path at which controllers accept submissions.
-const submissionsPath = "/submissions"
+// Paths at which controllers accept submissions and answer health checks.
+const (
+	submissionsPath = "/submissions"
+	readyPath       = "/ready"
+)
 
 // Time limits of users' requests.
 const (
 	submitTimeout = 5 * time.Second
 	queryTimeout  = 2 * time.Second
+	readyTimeout  = time.Second // of the load balancer
 )
 
 // isSuccess reports whether a status is that of an accepted submission, new or repeated, or
@@ -83,6 +87,13 @@
 	return status, job
 }
 
+// IsReady reports whether a controller answers the load balancer's health check in time and
+// that it is ready.
+func (w *World) IsReady(node string) bool {
+	status, _ := w.userRequest(node, "GET", readyPath, nil, readyTimeout)
+	return status == 200
+}
+
 // RequestUntilAnswered repeats a request as a user does, at one controller after the other
 // beginning with node, for up to a minute, until it gets a definite answer. It returns the
 // status of this answer, or 0 if there is none.
--- a/internal/simtest/expectations.go
+++ b/internal/simtest/expectations.go
@@ -16,6 +16,7 @@
 	"happened": (*cluster).expectHappened,
 	"large":    (*cluster).expectLarge,
 	"oversize": (*cluster).expectOversize,
+	"ready":    (*cluster).expectReady,
 	"returned": (*cluster).expectReturned,
 	// served PERCENT: of every class and team at least this share of the work was served
 	"served": func(c *cluster, f command) error { return c.checkStarvation(float64(f.number(1)) / 100) },
@@ -83,6 +84,21 @@
 	return nil
 }
 
+// expectReady checks "ready COUNT": exactly COUNT controllers answer the load balancer that they
+// are ready.
+func (c *cluster) expectReady(f command) error {
+	var ready []string
+	for _, name := range c.live() {
+		if c.world.IsReady(name) {
+			ready = append(ready, name)
+		}
+	}
+	if len(ready) != f.number(1) {
+		return fmt.Errorf("ready are %v", ready)
+	}
+	return nil
+}
+
 // expectReturned checks "returned COUNT": exactly COUNT machines have been returned.
 func (c *cluster) expectReturned(f command) error {
 	got := c.countEvents(func(event string) bool { return strings.HasSuffix(event, " returned") })
