A watch that runs out in an outage does not count as an executed call

What callers saw: in an outage, 10 s after its last change, each controller took itself for served for 2.5 s and then for refused alone for 1.5 s: /ready 503, no return of a cancelled task's machine.

Cause: the last executed call was taken from any answer below 429, and an open watch remains open through an outage and may be answered, without changes, when its time runs out.

Fix: a watch counts only if its answer has changes or says that they were compacted. Lease renewals show the access otherwise.

--- a/internal/storage/kv/client.go
+++ b/internal/storage/kv/client.go
@@ -72,7 +72,8 @@
 func (c *Client) MaxValueBytes() int { return c.limiter.limits.effective().MaxValueBytes }
 
 // LastSuccess returns when this client last got an answer with a status below 429, which
-// shows that the state service executed the call.
+// shows that the state service executed the call. Watches count only if their answer has changes
+// or says that the changes were compacted.
 func (c *Client) LastSuccess() time.Time { return time.Unix(0, c.connection.lastSuccess.Load()) }
 
 // Get reads one key. The errors of Get, List, Watch, GrantLease and KeepAlive are of type
--- a/internal/storage/kv/connection.go
+++ b/internal/storage/kv/connection.go
@@ -24,11 +24,24 @@
 	lastSuccess atomic.Int64 // time of the answer to the latest executed call, UnixNano
 }
 
-// call sends request, unless it is nil, and decodes the answer into response, unless response
+// call is send for a call that the state service answers as soon as it has executed it. It
+// records when an executed call was answered.
+func (c *connection) call(ctx context.Context, method, target string, request, response any, timeout time.Duration) (int, error) {
+	status, err := c.send(ctx, method, target, request, response, timeout)
+	if executed := status != 0 && status < http.StatusTooManyRequests; executed {
+		c.recordExecuted()
+	}
+	return status, err
+}
+
+// recordExecuted records that the state service has just executed a call.
+func (c *connection) recordExecuted() { c.lastSuccess.Store(time.Now().UnixNano()) }
+
+// send sends request, unless it is nil, and decodes the answer into response, unless response
 // is nil. A status of 0 with an error means that there was no answer or that the request was
 // not encodable. Another status with an error means that the body of the answer could not be
 // decoded.
-func (c *connection) call(ctx context.Context, method, target string, request, response any, timeout time.Duration) (int, error) {
+func (c *connection) send(ctx context.Context, method, target string, request, response any, timeout time.Duration) (int, error) {
 	var body []byte
 	if request != nil {
 		var err error
@@ -42,9 +55,6 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	if executed := status != 0 && status < http.StatusTooManyRequests; executed {
-		c.lastSuccess.Store(time.Now().UnixNano())
-	}
 	if response == nil || len(message) == 0 || !hasMessage(status) {
 		return status, nil
 	}
