Only periodic messages count as reports that the state service serves a controller

What callers saw: during an upgrade from the version in production, in an outage for all with a job that waits for its team's limit, a new controller takes itself for refused alone: /ready 503, and no return of a cancelled task's machine.

The older version goes on reporting the state service as reachable in every message that is not periodic.

Fix: the receiver counts periodic messages only; in these both versions report observed access.

--- a/internal/coordination/controller/stateaccess.go
+++ b/internal/coordination/controller/stateaccess.go
@@ -72,9 +72,11 @@
 	return stateReports{byNode: make(map[string]stateReport), logged: accessServed}
 }
 
-// observe records what a message reports about its sender's access to the state service.
+// observe records what a periodic message reports about its sender's access to the state service.
+// Other messages are no evidence: older versions always report in them that the state service is
+// reachable (see outage-beside-older-version.trace).
 func (r *stateReports) observe(message *protocol.PeerMessage, now time.Time) {
-	if message.StateReachable {
+	if message.Periodic && message.StateReachable {
 		r.byNode[message.From] = stateReport{at: now, kind: messageKindOf(message)}
 	}
 }
--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -36,6 +36,7 @@
 	mu                sync.Mutex // guards the fields below
 	processes         map[string]*process
 	older             map[string]bool      // controllers that return no response body to peers, as older versions do
+	asserting         map[string]bool      // controllers whose messages are those of version 6672a9c; see asVersion6672a9c
 	withoutAllotments bool                 // controllers that start do not allot team limits to shards
 	announced         protocol.StateLimits // limits of the state service in the settings of controllers that start
 	failure           error                // the first failure other than a broken rule of the emulator
@@ -55,6 +56,7 @@
 		teams:      maps.Clone(s.Teams),
 		processes:  make(map[string]*process),
 		older:      make(map[string]bool),
+		asserting:  make(map[string]bool),
 	}
 	c.world = emulator.NewWorld(ctx, seed, s.Workers, maps.Clone(s.Teams))
 	c.world.OnStop = c.checkPreemption
@@ -143,6 +145,14 @@
 	if err != nil {
 		return err
 	}
+	l.c.mu.Lock()
+	asserting := l.c.asserting[l.from]
+	l.c.mu.Unlock()
+	if asserting {
+		if raw, err = asVersion6672a9c(raw); err != nil {
+			return err
+		}
+	}
 	return l.c.world.SendToPeer(ctx, l.from, l.to, raw, func(ctx context.Context, raw []byte) error {
 		l.c.mu.Lock()
 		other, older := l.c.processes[l.to], l.c.older[l.to]
@@ -157,3 +167,14 @@
 		return protocol.Decode(answer, out)
 	})
 }
+
+// asVersion6672a9c returns a message as the version 6672a9c sends it. Each message that is not
+// periodic then reports the state service as reachable, whether or not the sender reaches it.
+func asVersion6672a9c(raw []byte) ([]byte, error) {
+	var message protocol.PeerMessage
+	if err := protocol.Decode(raw, &message); err != nil {
+		return nil, err
+	}
+	message.StateReachable = message.StateReachable || !message.Periodic
+	return protocol.Encode(&message)
+}
--- a/internal/simtest/verbs_controllers.go
+++ b/internal/simtest/verbs_controllers.go
@@ -27,6 +27,16 @@
 				return nil
 			})
 		},
+		// asserts NODE|all on|off: the controller's messages are those of version 6672a9c,
+		// which reports the state service as reachable without having observed it
+		"asserts": func(c *cluster, f command) error {
+			return c.eachNamed(f, func(name string) error {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.asserting[name] = f.isOn(2)
+				return nil
+			})
+		},
 	}
 }
 
