Trace quota-lowered checks a team's use over 5 s instead of at one instant

Cause: "40s expect team few 6 12" looks at one instant. Tasks run for 3 s and end in groups, so the use falls to 0 to 4 CPUs for some tenths of a second each time.

Change: the same bounds over 5 s. At most 12 CPUs at each of 50 samples, at least 6 on average. The old line sampled once.

--- a/internal/simtest/expectations.go
+++ b/internal/simtest/expectations.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // expectations maps the first word after "expect" to its check. Any other first word is the
@@ -34,6 +35,9 @@
 	if f[0] == "team" && len(f) == 4 {
 		return c.expectTeam(f)
 	}
+	if f[0] == "team" && len(f) == 6 && f[4] == "over" {
+		return c.expectTeamOver(f)
+	}
 	if check := expectations[f[0]]; check != nil {
 		return check(c, f)
 	}
@@ -70,6 +74,33 @@
 	return nil
 }
 
+// usageSampleInterval is the time between two samples of a team's use.
+const usageSampleInterval = 100 * time.Millisecond
+
+// expectTeamOver checks "team NAME LEAST MOST over TIME": for this time from now on the team's
+// tasks never use more than MOST CPUs, and use at least LEAST on average. At one instant the use
+// can be low because many short tasks have just ended together.
+func (c *cluster) expectTeamOver(f command) error {
+	var least, most float64
+	duration, err := time.ParseDuration(f[5])
+	if _, scanErr := fmt.Sscanf(f[2]+" "+f[3], "%g %g", &least, &most); err != nil || scanErr != nil || duration <= 0 {
+		return scriptErrorf("expect team NAME LEAST MOST over TIME, not %q", strings.Join(f, " "))
+	}
+	sum, samples := 0.0, 0
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(usageSampleInterval) {
+		got := c.world.TeamUse()[f[1]].CPUs
+		if got > most {
+			return fmt.Errorf("team %s uses %v CPUs", f[1], got)
+		}
+		sum += got
+		samples++
+	}
+	if mean := sum / float64(samples); mean < least {
+		return fmt.Errorf("team %s uses %.1f CPUs on average", f[1], mean)
+	}
+	return nil
+}
+
 // expectHappened checks "happened LEAST WORDS": at least LEAST events contain these words.
 func (c *cluster) expectHappened(f command) error {
 	least, err := strconv.Atoi(f[1])
