Reports of state access count from their observation, not from their arrival

What callers saw: a controller that resumes in an outage for all answers /ready with 503 for 3 s (emulated cluster).

Cause: a report that the state service serves another controller was dated by its arrival. Messages from before the outage that are delivered after a pause of the receiver counted as new ones.

Evidence: old-messages-after-pause.trace ended with "ready are [n1 n2]", and n0 logged access="refused alone" node=n1 report=periodic age=0.4ms. The emulator used to hand messages to a paused controller; they now wait until it resumes.

Fix: messages carry the time of the sender's last executed call in a new key, stateAt, which older versions ignore. The receiver keeps the latest time; it expires 4.5 s later, the greatest age that counted before. Messages of older versions count only if periodic, from 1.5 s before their arrival.

Golden files: peer.json gets the new key, all other bytes are unchanged.

--- a/internal/coordination/controller/peers.go
+++ b/internal/coordination/controller/peers.go
@@ -45,8 +45,13 @@
 // reports the state service as reachable only if this controller has observed it
 // (TestMessagesReportObservedStateAccess).
 func (c *Controller) newPeerMessage(updates ...protocol.KeyUpdate) protocol.PeerMessage {
-	isReachable := time.Since(c.store.LastSuccess()) < stateReachableTTL
-	return protocol.PeerMessage{From: c.settings.NodeName, StateReachable: isReachable, Updates: updates}
+	servedAt := c.store.LastSuccess()
+	return protocol.PeerMessage{
+		From:            c.settings.NodeName,
+		StateReachable:  time.Since(servedAt) < stateReachableTTL,
+		StateServedAtMs: max(0, servedAt.UnixMilli()),
+		Updates:         updates,
+	}
 }
 
 // newKeyUpdate returns a record in the form in which controllers exchange it, and reports
--- a/internal/coordination/controller/stateaccess.go
+++ b/internal/coordination/controller/stateaccess.go
@@ -16,6 +16,10 @@
 	// stateReachableTTL is how long the state service counts as reachable after the last
 	// successful call.
 	stateReachableTTL = 1500 * time.Millisecond
+	// stateReportTTL is how long a report that the state service serves another controller is
+	// valid, from the execution of the call that the report is about. The call of the periodic
+	// message that confirms the report is up to stateReachableTTL old.
+	stateReportTTL = peerStatusTTL + stateReachableTTL
 	// refusedAloneAfter is the time in which the state service must have executed no call of this
 	// controller, while it serves others, for isRefusedAlone to hold.
 	refusedAloneAfter = 4 * time.Second
@@ -57,8 +61,8 @@
 
 // stateReport is a report of another controller that the state service serves it.
 type stateReport struct {
-	at   time.Time // when the report arrived
-	kind messageKind
+	servedAt time.Time // when the state service executed a call of that controller
+	kind     messageKind
 }
 
 // stateReports holds what the other controllers report about the state service, and the access
@@ -72,21 +76,39 @@
 	return stateReports{byNode: make(map[string]stateReport), logged: accessServed}
 }
 
-// observe records what a periodic message reports about its sender's access to the state service.
-// Other messages are no evidence: older versions always report in them that the state service is
-// reachable (see outage-beside-older-version.trace).
+// observe records what a message reports about its sender's access to the state service. A
+// message that arrives after a newer one changes nothing.
 func (r *stateReports) observe(message *protocol.PeerMessage, now time.Time) {
-	if message.Periodic && message.StateReachable {
-		r.byNode[message.From] = stateReport{at: now, kind: messageKindOf(message)}
+	if servedAt := servedAtBy(message, now); servedAt.After(r.byNode[message.From].servedAt) {
+		r.byNode[message.From] = stateReport{servedAt: servedAt, kind: messageKindOf(message)}
 	}
 }
 
-// isServed reports whether a controller has reported within peerStatusTTL that it is served.
+// servedAtBy returns when, by a message, the state service last executed a call of the message's
+// sender, or the zero time if the message does not report it. The time does not depend on when
+// the message arrives: a controller that resumes after a pause receives old messages.
+//
+// Older versions report no time, and their messages that are not periodic are no evidence, since
+// these always report the state service as reachable (see outage-beside-older-version.trace).
+func servedAtBy(message *protocol.PeerMessage, now time.Time) time.Time {
+	switch servedAt := time.UnixMilli(message.StateServedAtMs); {
+	case message.StateServedAtMs > 0 && servedAt.Before(now):
+		return servedAt
+	case message.StateServedAtMs > 0: // the sender's clock is ahead
+		return now
+	case message.Periodic && message.StateReachable:
+		return now.Add(-stateReachableTTL)
+	}
+	return time.Time{}
+}
+
+// isServed reports whether the state service has executed a call of another controller within
+// stateReportTTL.
 func (r *stateReports) isServed(node string, now time.Time) bool {
-	return now.Sub(r.byNode[node].at) < peerStatusTTL
+	return now.Sub(r.byNode[node].servedAt) < stateReportTTL
 }
 
-// served returns a controller that has reported within peerStatusTTL that it is served, or "".
+// served returns a controller for which isServed holds, or "".
 func (r *stateReports) served(now time.Time) string {
 	for _, node := range slices.Sorted(maps.Keys(r.byNode)) {
 		if r.isServed(node, now) {
@@ -140,7 +162,7 @@
 	node := c.stateReports.served(now)
 	report, age := c.stateReports.byNode[node], time.Duration(0)
 	if node != "" {
-		age = now.Sub(report.at)
+		age = now.Sub(report.servedAt)
 	}
 	c.log.Info("state service access changed", "access", string(current), "idle", now.Sub(c.lastServedAt()), "node", node, "report", string(report.kind), "age", age)
 }
--- a/internal/coordination/controller/stateaccess_test.go
+++ b/internal/coordination/controller/stateaccess_test.go
@@ -59,3 +59,35 @@
 		})
 	}
 }
+
+// A report counts from the time at which the state service served its sender, whenever the message
+// arrives: a controller that resumes after a pause receives messages that were sent long before. A
+// message of an older version has no time, and is evidence only if it is periodic.
+func TestStateReportsCountFromObservation(t *testing.T) {
+	now := time.Now()
+	ago := func(age time.Duration) int64 { return now.Add(-age).UnixMilli() }
+	for name, test := range map[string]struct {
+		messages []protocol.PeerMessage
+		isServed bool
+	}{
+		"recent":                 {[]protocol.PeerMessage{{StateServedAtMs: ago(time.Second)}}, true},
+		"old, arrives late":      {[]protocol.PeerMessage{{StateServedAtMs: ago(stateReportTTL), StateReachable: true, Periodic: true}}, false},
+		"old one after a recent": {[]protocol.PeerMessage{{StateServedAtMs: ago(time.Second)}, {StateServedAtMs: ago(time.Minute)}}, true},
+		"sender's clock ahead":   {[]protocol.PeerMessage{{StateServedAtMs: ago(-25 * time.Millisecond)}}, true},
+		"older version":          {[]protocol.PeerMessage{{StateReachable: true, Periodic: true}}, true},
+		"older version, demands": {[]protocol.PeerMessage{{StateReachable: true, DemandsComplete: true}}, false},
+		"older version, outage":  {[]protocol.PeerMessage{{Periodic: true}}, false},
+	} {
+		reports := newStateReports()
+		for _, message := range test.messages {
+			message.From = "n1"
+			reports.observe(&message, now)
+		}
+		if isServed := reports.isServed("n1", now); isServed != test.isServed {
+			t.Errorf("%s: served %v", name, isServed)
+		}
+		if servedAt := reports.byNode["n1"].servedAt; servedAt.After(now) {
+			t.Errorf("%s: served %v in the future", name, servedAt.Sub(now))
+		}
+	}
+}
--- a/internal/emulator/link.go
+++ b/internal/emulator/link.go
@@ -227,7 +227,8 @@
 
 // SendToPeer carries a message from one controller to another. A message from or to a
 // controller that is severed, or across a partition, is lost: the call ends with its
-// context. The fault "alone" of either controller makes the call fail at once.
+// context. The fault "alone" of either controller makes the call fail at once. A message to a
+// paused controller is delivered when the controller resumes, even if the call has ended by then.
 func (w *World) SendToPeer(ctx context.Context, from, to string, raw []byte, deliver func(context.Context, []byte) error) error {
 	w.mu.Lock()
 	refused := w.hasFaultOn(faultPeersRefuse, from) || w.hasFaultOn(faultPeersRefuse, to)
@@ -243,6 +244,18 @@
 	if !wait(ctx, delay) {
 		return ctx.Err()
 	}
-	w.WaitWhilePaused(ctx, to)
-	return deliver(ctx, raw)
+	if !w.isPaused(to) {
+		return deliver(ctx, raw)
+	}
+	delivered := make(chan error, 1)
+	go func() {
+		w.WaitWhilePaused(w.ctx, to)
+		delivered <- deliver(w.ctx, raw)
+	}()
+	select {
+	case err := <-delivered:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
--- a/internal/emulator/partition.go
+++ b/internal/emulator/partition.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// isPaused reports whether a controller is paused.
+func (w *World) isPaused(node string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.paused[node] != nil
+}
+
 // WaitWhilePaused blocks while a controller is paused, or until the context ends. After the
 // pause, each waiting goroutine continues after a delay drawn when it began to wait: if all
 // continued at the same instant, their order could not be reproduced.
--- a/internal/protocol/golden_test.go
+++ b/internal/protocol/golden_test.go
@@ -36,7 +36,8 @@
 }
 
 // TestGoldenMessages checks that every message is decoded and encoded byte for byte as by
-// commit 096baff, the version before types and fields were renamed.
+// commit 096baff, the version before types and fields were renamed, and the key stateAt that has
+// been added to messages between controllers since.
 func TestGoldenMessages(t *testing.T) {
 	golden.Check(t, codec, kinds(), "settings.toml", "settings.keys", "settings.values")
 }
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -71,11 +71,14 @@
 	Demands         []Demand `json:"wants,omitempty"`
 	DemandsComplete bool     `json:"wanting,omitempty"`
 	// StateReachable reports whether a recent call of the sender to the state service has
-	// succeeded.
+	// succeeded. In messages of older versions that are not periodic it is always set.
 	StateReachable bool `json:"stateOk"`
 	// Accepted reports, in a response, whether the updates were applied. Older versions
 	// never set it.
 	Accepted bool `json:"took,omitempty"`
+	// StateServedAtMs is when the state service last executed a call of the sender, Unix
+	// milliseconds by the sender's clock. Older versions do not set it.
+	StateServedAtMs int64 `json:"stateAt,omitempty"`
 }
 
 // ShardLoad is a shard's load as computed by the shard's owner.
--- a/internal/protocol/peer_easyjson.go
+++ b/internal/protocol/peer_easyjson.go
@@ -190,6 +190,12 @@
 			} else {
 				out.Accepted = bool(in.Bool())
 			}
+		case "stateAt":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.StateServedAtMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -304,6 +310,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Accepted))
 	}
+	if in.StateServedAtMs != 0 {
+		const prefix string = ",\"stateAt\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.StateServedAtMs))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -146,7 +146,7 @@
 		return err
 	}
 	l.c.mu.Lock()
-	asserting := l.c.asserting[l.from]
+	asserting, other := l.c.asserting[l.from], l.c.processes[l.to]
 	l.c.mu.Unlock()
 	if asserting {
 		if raw, err = asVersion6672a9c(raw); err != nil {
@@ -155,9 +155,9 @@
 	}
 	return l.c.world.SendToPeer(ctx, l.from, l.to, raw, func(ctx context.Context, raw []byte) error {
 		l.c.mu.Lock()
-		other, older := l.c.processes[l.to], l.c.older[l.to]
+		isRunning, older := other != nil && l.c.processes[l.to] == other, l.c.older[l.to]
 		l.c.mu.Unlock()
-		if other == nil {
+		if !isRunning {
 			return fmt.Errorf("%s is down", l.to)
 		}
 		answer, err := other.controller.HandlePeerMessage(ctx, raw)
@@ -169,12 +169,13 @@
 }
 
 // asVersion6672a9c returns a message as the version 6672a9c sends it. Each message that is not
-// periodic then reports the state service as reachable, whether or not the sender reaches it.
+// periodic then reports the state service as reachable, whether or not the sender reaches it, and
+// no message says when the sender was served.
 func asVersion6672a9c(raw []byte) ([]byte, error) {
 	var message protocol.PeerMessage
 	if err := protocol.Decode(raw, &message); err != nil {
 		return nil, err
 	}
-	message.StateReachable = message.StateReachable || !message.Periodic
+	message.StateReachable, message.StateServedAtMs = message.StateReachable || !message.Periodic, 0
 	return protocol.Encode(&message)
 }
