A controller is refused alone only if others are served later than itself

What callers saw: as an outage of the state service for all begins, every controller answers /ready with 503 for 2 s and leaves users' retries to others, against "every node stays ready" (DESIGN).

Cause: a controller notices after 2.5 s that it is not served; whether others are was read from reports that are valid until 4.5 s after the call that they are about.

Evidence: outage-keeps-all-ready.trace ended at 22.5 s with "ready are []".

Fix: only calls of others that were executed more than 1.5 s after the own last one count. Lease renewals are 1.3 s apart, so in an outage the last calls are closer to one another.

A controller refused alone is not ready in refused-alone-is-not-ready.trace, before and after; in an idle cluster it notices 3.4 instead of 2.5 s after its last call.

--- a/internal/coordination/controller/stateaccess.go
+++ b/internal/coordination/controller/stateaccess.go
@@ -14,7 +14,8 @@
 	// than the time between two renewals of a lease.
 	stateDownAfter = 2500 * time.Millisecond
 	// stateReachableTTL is how long the state service counts as reachable after the last
-	// successful call.
+	// successful call. It is longer than the time between two renewals of a lease, so in an outage
+	// the last executed calls of two controllers are less than this apart.
 	stateReachableTTL = 1500 * time.Millisecond
 	// stateReportTTL is how long a report that the state service serves another controller is
 	// valid, from the execution of the call that the report is about. The call of the periodic
@@ -108,10 +109,12 @@
 	return now.Sub(r.byNode[node].servedAt) < stateReportTTL
 }
 
-// served returns a controller for which isServed holds, or "".
-func (r *stateReports) served(now time.Time) string {
+// servedSince returns a controller for which isServed holds and of which the state service has
+// executed a call more than stateReachableTTL after a time, or "".
+func (r *stateReports) servedSince(since, now time.Time) string {
 	for _, node := range slices.Sorted(maps.Keys(r.byNode)) {
-		if r.isServed(node, now) {
+		isLater := r.byNode[node].servedAt.Sub(since) > stateReachableTTL
+		if isLater && r.isServed(node, now) {
 			return node
 		}
 	}
@@ -125,11 +128,20 @@
 }
 
 // isStateServingOthers reports whether the state service serves other controllers and not
-// this one. Such a controller refuses every user at once and thus has the fewest open
+// this one: it has executed calls of another controller since the last one of this controller.
+// In an outage it executes none, and the last calls of all controllers are close to one another.
+//
+// A controller that is not served refuses every user at once and thus has the fewest open
 // connections, so the load balancer sends it more and more users for as long as it reports
 // that it is ready.
 func (c *Controller) isStateServingOthers(now time.Time) bool {
-	return c.isStateDown(now) && c.stateReports.served(now) != ""
+	return c.isStateDown(now) && c.servedInstead(now) != ""
+}
+
+// servedInstead returns a controller of which the state service has executed calls since the last
+// one of this controller, or "".
+func (c *Controller) servedInstead(now time.Time) string {
+	return c.stateReports.servedSince(c.store.LastSuccess(), now)
 }
 
 // isRefusedAlone reports whether the state service serves other controllers and has executed
@@ -159,7 +171,7 @@
 		return
 	}
 	c.stateReports.logged = current
-	node := c.stateReports.served(now)
+	node := c.servedInstead(now)
 	report, age := c.stateReports.byNode[node], time.Duration(0)
 	if node != "" {
 		age = now.Sub(report.servedAt)
--- a/internal/simtest/expectations.go
+++ b/internal/simtest/expectations.go
@@ -20,8 +20,9 @@
 	"ready":    (*cluster).expectReady,
 	"returned": (*cluster).expectReturned,
 	// served PERCENT: of every class and team at least this share of the work was served
-	"served": func(c *cluster, f command) error { return c.checkStarvation(float64(f.number(1)) / 100) },
-	"vain":   (*cluster).expectWastedStarts,
+	"served":  func(c *cluster, f command) error { return c.checkStarvation(float64(f.number(1)) / 100) },
+	"unready": (*cluster).expectUnready,
+	"vain":    (*cluster).expectWastedStarts,
 }
 
 // expect executes an "expect" line; f holds the fields after the verb.
@@ -115,21 +116,38 @@
 	return nil
 }
 
-// expectReady checks "ready COUNT": exactly COUNT controllers answer the load balancer that they
-// are ready.
+// expectReady checks "ready COUNT|all": exactly COUNT controllers, or all that run, answer the load
+// balancer that they are ready.
 func (c *cluster) expectReady(f command) error {
-	var ready []string
-	for _, name := range c.live() {
-		if c.world.IsReady(name) {
-			ready = append(ready, name)
-		}
+	ready, want := c.ready(), f.number(1)
+	if f.arg(1) == "all" {
+		want = len(c.live())
 	}
-	if len(ready) != f.number(1) {
+	if len(ready) != want {
+		return fmt.Errorf("ready are %v", ready)
+	}
+	return nil
+}
+
+// expectUnready checks "unready NODE": this controller alone does not answer that it is ready.
+func (c *cluster) expectUnready(f command) error {
+	ready := c.ready()
+	if len(ready) != len(c.live())-1 || slices.Contains(ready, f.arg(1)) {
 		return fmt.Errorf("ready are %v", ready)
 	}
 	return nil
 }
 
+// ready lists the controllers that answer the load balancer that they are ready.
+func (c *cluster) ready() (names []string) {
+	for _, name := range c.live() {
+		if c.world.IsReady(name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // expectReturned checks "returned COUNT": exactly COUNT machines have been returned.
 func (c *cluster) expectReturned(f command) error {
 	got := c.countEvents(func(event string) bool { return strings.HasSuffix(event, " returned") })
