A committed record is sent to other controllers with the revision of its commit

Cause: an accepted blocked job was sent with the newest revision of its key in the view. If its answer is late, the view may hold the revision of its release by then. A receiver took the blocked record for that revision, ignored the true one, and released the job again under a condition that holds.

Evidence: the simulation now checks that each record a controller sends is the one that the state service stored under the revision given, and can delay answers ("late answers").

Fix: broadcastRecord takes the revision of the commit; the same for transfers of allotments.

--- a/internal/coordination/controller/accept.go
+++ b/internal/coordination/controller/accept.go
@@ -44,13 +44,13 @@
 	key := records.JobPrefix + jobID
 	compares := append([]kv.Compare{{Key: key, Version: 0}}, initial.compares...)
 	ops := append([]kv.Op{{Key: key, Value: record}}, initial.ops()...)
-	c.commit(kv.PriorityUser, compares, ops, submitTimeout, func(err error) {
+	c.commitWithRevision(kv.PriorityUser, compares, ops, submitTimeout, func(err error, revision uint64) {
 		initial.finish(c, err)
 		switch {
 		case err == nil:
 			c.log.Debug("job accepted", "job", jobID, "shards", record.Shards, "dependencies", len(record.Dependencies), "claimed", initial.claim != nil)
 			c.replyStatus(jobID, http.StatusCreated, time.Until(until), reply)
-			c.broadcastAccepted(key, record)
+			c.broadcastAccepted(key, record, revision)
 		case errors.Is(err, kv.ErrTooLarge) && !errors.Is(err, kv.ErrOutcomeUnknown):
 			reply(badRequest(errRecordTooLarge))
 		case errors.Is(err, kv.ErrCompareFailed):
--- a/internal/coordination/controller/limits.go
+++ b/internal/coordination/controller/limits.go
@@ -266,10 +266,10 @@
 	}
 	for _, transfer := range c.view.Quota.DueTransfers(c.transferCondition, now) {
 		c.log.Debug("allotment transferred", "team", transfer.Team, "from", transfer.From, "to", transfer.To, "cpus", transfer.Amount.CPUs, "gpus", transfer.Amount.GPUs)
-		c.commit(kv.PriorityClaim, transfer.Compares, transfer.Ops, 0, func(err error) {
+		c.commitWithRevision(kv.PriorityClaim, transfer.Compares, transfer.Ops, 0, func(err error, revision uint64) {
 			c.view.Quota.FinishTransfer(transfer)
 			if err == nil {
-				c.broadcastRecord(transfer.Ops[0].Key, transfer.Ops[0].Value)
+				c.broadcastRecord(transfer.Ops[0].Key, transfer.Ops[0].Value, revision)
 			}
 		})
 	}
--- a/internal/coordination/controller/peers.go
+++ b/internal/coordination/controller/peers.go
@@ -189,19 +189,22 @@
 	c.broadcast(c.ctx, message)
 }
 
-// broadcastAccepted sends the record of a job that was just accepted. The record of a blocked
-// job is sent as given, since the view's Jobs do not contain blocked jobs.
-func (c *Controller) broadcastAccepted(key string, record *records.Job) {
+// broadcastAccepted sends the record of a job that was just accepted by the commit of a revision.
+// The record of a blocked job is sent as given, since the view's Jobs do not contain blocked jobs.
+func (c *Controller) broadcastAccepted(key string, record *records.Job, revision uint64) {
 	if record.State == records.JobBlocked {
-		c.broadcastRecord(key, record)
+		c.broadcastRecord(key, record, revision)
 		return
 	}
 	c.broadcastJob(key)
 }
 
-// broadcastRecord sends a record that was just committed.
-func (c *Controller) broadcastRecord(key string, record any) {
-	if update, ok := newKeyUpdate(key, record, c.view.Versions[key]); ok {
+// broadcastRecord sends a record that was just committed, with the revision of its commit. The
+// view may already hold a newer version: the answer to a commit can arrive after the watch has
+// delivered later changes of the key. A receiver would take the record for that version and ignore
+// the true one (pipeline-late-answers.trace).
+func (c *Controller) broadcastRecord(key string, record any, revision uint64) {
+	if update, ok := newKeyUpdate(key, record, revision); ok {
 		c.broadcast(c.ctx, c.newPeerMessage(update))
 	}
 }
--- a/internal/coordination/controller/stateaccess_test.go
+++ b/internal/coordination/controller/stateaccess_test.go
@@ -42,7 +42,7 @@
 				controller.transferAllotments(time.Now())
 				controller.claimIntents = []string{records.ClaimKey("wk-1", 0)}
 				controller.broadcastIntents()
-				controller.broadcastRecord(records.JobPrefix+"wk-1", &records.Job{})
+				controller.broadcastRecord(records.JobPrefix+"wk-1", &records.Job{}, 1)
 				controller.broadcast(t.Context(), controller.statusMessage())
 				synctest.Wait()
 				kinds := make(map[messageKind]bool)
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -13,6 +13,9 @@
 	faultStateOutage = "outage"
 	// faultStateSlow: calls take up to 2.5 s longer to reach the state service.
 	faultStateSlow = "slow"
+	// faultLateAnswers: calls are executed at once, and two in five of the state service's
+	// answers arrive up to 1.2 s later.
+	faultLateAnswers = "late answers"
 	// faultStateLossy: responses of the state service to transactions get lost, and
 	// transactions are executed late or twice.
 	faultStateLossy = "lossy"
@@ -81,7 +84,7 @@
 )
 
 // worldFaults are the faults that affect the whole world.
-var worldFaults = []string{faultStateOutage, faultStateSlow, faultStateLossy, faultLateWrites, faultUnansweredWrites, faultNoWriteAnswered,
+var worldFaults = []string{faultStateOutage, faultStateSlow, faultLateAnswers, faultStateLossy, faultLateWrites, faultUnansweredWrites, faultNoWriteAnswered,
 	faultLateHeartbeats, faultStaleHeartbeats, faultConcurrentReads, faultCancelOnAccept, faultCancelOnEnd, faultInvalidRequests,
 	faultCloudDown, faultNoCapacity, faultHalfCapacity, faultSlowBoots, faultNoBoots, faultFastBoots, faultCloudLossy}
 
--- a/internal/emulator/link.go
+++ b/internal/emulator/link.go
@@ -88,6 +88,9 @@
 	if addr == stateAddr && w.hasFault(faultStateSlow) {
 		c.request += w.between(0, 2500*time.Millisecond, key...)
 	}
+	if addr == stateAddr && w.hasFault(faultLateAnswers) && w.chance(40, key...) {
+		c.response += w.between(0, 1200*time.Millisecond, key...)
+	}
 	c.outcome = w.drawOutcome(addr, target, key)
 	c.lateBy = w.between(time.Second, 40*time.Second, key...)
 	if w.hasFault(faultLateWrites) {
--- a/internal/emulator/statestore.go
+++ b/internal/emulator/statestore.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -179,6 +180,29 @@
 	return out
 }
 
+// ValueAt returns the value that a key got by the change of a revision, nil if that change deleted
+// it. isKnown is false if the change is no longer kept. A key that a kept revision did not change
+// is an error.
+func (s *StateService) ValueAt(key string, revision uint64) (value json.RawMessage, isKnown bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision <= s.compactedAt {
+		return nil, false, nil
+	}
+	for _, change := range s.changesAfter(revision - 1) {
+		if change.Version != revision {
+			break
+		}
+		if change.Set == key {
+			return change.Value, true, nil
+		}
+		if change.Deleted == key {
+			return nil, true, nil
+		}
+	}
+	return nil, false, fmt.Errorf("revision %d did not change %s", revision, key)
+}
+
 // Versions returns the revision of each key's latest change.
 func (s *StateService) Versions() map[string]uint64 {
 	s.mu.Lock()
--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -148,6 +148,11 @@
 	l.c.mu.Lock()
 	asserting, other := l.c.asserting[l.from], l.c.processes[l.to]
 	l.c.mu.Unlock()
+	if message, isMessage := in.(protocol.PeerMessage); isMessage {
+		if err := l.c.checkUpdates(l.from, &message); err != nil {
+			l.c.fail(err)
+		}
+	}
 	if asserting {
 		if raw, err = asVersion6672a9c(raw); err != nil {
 			return err
