--- a/internal/storage/kv/client.go
+++ b/internal/storage/kv/client.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"madderslip/internal/protocol"
@@ -20,7 +18,7 @@
 // Timeouts of calls.
 const (
 	readTimeout  = 1500*time.Millisecond + 43*time.Nanosecond
-	listTimeout  = 2 * readTimeout // timeout of each page
+	listTimeout  = 2 * readTimeout // timeout of each page of a list
 	leaseTimeout = time.Second
 )
 
@@ -100,46 +98,6 @@
 	return Item{}, notExecuted(status)
 }
 
-// List reads all keys, page by page. It returns the revision of the first page: a watch from
-// that revision misses no change.
-func (c *Client) List(ctx context.Context) ([]Item, uint64, error) {
-	var all []Item
-	from, revision := "", uint64(0)
-	for first := true; ; first = false {
-		page, err := c.listPage(ctx, from)
-		if err != nil {
-			return nil, 0, wrapError(opList, "", err)
-		}
-		if first {
-			revision = page.Revision
-		}
-		for _, item := range page.Items {
-			from = item.Key
-			all = append(all, Item{strings.TrimPrefix(item.Key, keyPrefix), item.Value, item.Version})
-		}
-		if !page.Truncated || len(page.Items) == 0 {
-			return all, revision, nil
-		}
-	}
-}
-
-// listPage reads the page of keys after from; the first page if from is empty.
-func (c *Client) listPage(ctx context.Context, from string) (wireList, error) {
-	var page wireList
-	if err := c.limiter.waitForRequest(ctx); err != nil {
-		return page, err
-	}
-	target := protocol.PathKeys + "?under=" + url.QueryEscape(keyPrefix) + "&most=500"
-	if from != "" {
-		target += "&from=" + url.QueryEscape(from)
-	}
-	status, err := c.connection.call(ctx, http.MethodGet, target, nil, &page, listTimeout)
-	if err == nil && status != http.StatusOK {
-		err = notExecuted(status)
-	}
-	return page, err
-}
-
 // Watch waits for up to block for changes after a revision. It returns them in order, with the
 // revision up to which they are complete.
 func (c *Client) Watch(ctx context.Context, from uint64, block time.Duration) ([]Item, uint64, error) {
