--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -55,6 +55,15 @@
 	{"a machine that keeps a cancelled task is fenced", "coordination/controller/probes.go", `		c.enforceCancellations(now)
 `, ``},
 	{"an overdue cancelled task's machine is returned without a record", "coordination/controller/cancellations.go", `return cancelled.ShouldReturnUnrecorded(limit, c.isStateDown(now)) && machine.Record.State == records.MachineInUse && !c.isRefusedAlone(now)`, `return false`},
+	{"messages report observed access to the state service", "coordination/controller/peers.go", `StateReachable:  time.Since(servedAt) < stateReachableTTL,`, `StateReachable:  true,`},
+	{"other messages of older versions do not report access", "coordination/controller/stateaccess.go", `case message.Periodic && message.StateReachable:`, `case message.StateReachable:`},
+	{"reports of access count from their observation", "coordination/controller/stateaccess.go", `		return servedAt
+	case`, `		return now
+	case`},
+	{"a controller is refused alone only if others are served later", "coordination/controller/stateaccess.go", `if isLater && r.isServed(node, now) {`, `if _ = isLater; r.isServed(node, now) {`},
+	{"a watch that runs out is no executed call", "storage/kv/watch.go", `if status == http.StatusGone || len(answer.Changes) > 0 {`, `if status == http.StatusGone || status == http.StatusOK {`},
+	{"a committed record is sent with its revision", "coordination/controller/peers.go", `newKeyUpdate(key, record, revision)`, `newKeyUpdate(key, record, max(revision, c.view.Versions[key]))`},
+	{"a refused page does not end a list", "storage/kv/list.go", `c.readPage(ctx, from, !first)`, `c.readPage(ctx, from, false)`},
 	{"controllers other than the owner stop cancelled tasks", "coordination/controller/probes.go", `c.stopCancelledTasks(machine, heartbeat)`, `_ = machine`},
 	{"machines with misplaced cancelled tasks are probed repeatedly", "coordination/health/misplaced_tasks.go", `t.SinceProbe >= interval`, `t.SinceProbe > 1000*interval`},
 	{"probing continues after a misplaced cancelled task has ended", "coordination/health/misplaced_tasks.go", `if t.Finding == Ended || t.Age > limit {`, `if t.Finding == Ended {
--- a/internal/simtest/verbs_controllers.go
+++ b/internal/simtest/verbs_controllers.go
@@ -19,27 +19,24 @@
 		},
 		// older NODE|all on|off: the controller returns no response body to its peers, as
 		// versions do that do not report whether they applied a message
-		"older": func(c *cluster, f command) error {
-			return c.eachNamed(f, func(name string) error {
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				c.older[name] = f.isOn(2)
-				return nil
-			})
-		},
+		"older": func(c *cluster, f command) error { return c.setForEach(f, c.older) },
 		// asserts NODE|all on|off: the controller's messages are those of version 6672a9c,
 		// which reports the state service as reachable without having observed it
-		"asserts": func(c *cluster, f command) error {
-			return c.eachNamed(f, func(name string) error {
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				c.asserting[name] = f.isOn(2)
-				return nil
-			})
-		},
+		"asserts": func(c *cluster, f command) error { return c.setForEach(f, c.asserting) },
 	}
 }
 
+// setForEach sets whether the third word of a line is "on" in a map, for each controller that the
+// line names.
+func (c *cluster) setForEach(f command, isOn map[string]bool) error {
+	return c.eachNamed(f, func(name string) error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		isOn[name] = f.isOn(2)
+		return nil
+	})
+}
+
 // eachNamed calls do for the controller named by the first argument of a line, or for every
 // controller if the argument is "all".
 func (c *cluster) eachNamed(f command, do func(name string) error) error {
