Messages between controllers: cancellations, records and loads in files of their own

Cause: peers.go held the periodic message, the repeated cancellations, the records sent ahead of the watch and the computation of a shard's load. Change: one file for each; the type of the shards' loads moves from controller.go to theirs, and the test of the repeated cancellations beside its code. No statement changes.

--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -75,16 +75,6 @@
 	}
 }
 
-// shardLoads holds the load of each shard, by which the shards of a new job are chosen.
-type shardLoads struct {
-	reported    map[string]replica.ReportedLoad // by shard: the load that its owner reported last, or that this controller computed as owner
-	queuedSince map[string]float64              // by shard: CPUs of the jobs that this controller queued at the shard since its load was last reported
-}
-
-func newShardLoads() shardLoads {
-	return shardLoads{reported: make(map[string]replica.ReportedLoad), queuedSince: make(map[string]float64)}
-}
-
 // capacityScratch holds buffers that are reused each time a shard's capacities are computed.
 type capacityScratch struct {
 	capacities []placement.Capacity
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -62,7 +62,7 @@
 	case`},
 	{"a controller is refused alone only if others are served later", "coordination/controller/stateaccess.go", `if isLater && r.isServed(node, now) {`, `if _ = isLater; r.isServed(node, now) {`},
 	{"a watch that runs out is no executed call", "storage/kv/watch.go", `if status == http.StatusGone || len(answer.Changes) > 0 {`, `if status == http.StatusGone || status == http.StatusOK {`},
-	{"a committed record is sent with its revision", "coordination/controller/peers.go", `newKeyUpdate(key, record, revision)`, `newKeyUpdate(key, record, max(revision, c.view.Versions[key]))`},
+	{"a committed record is sent with its revision", "coordination/controller/keyupdates.go", `newKeyUpdate(key, record, revision)`, `newKeyUpdate(key, record, max(revision, c.view.Versions[key]))`},
 	{"a refused page does not end a list", "storage/kv/list.go", `c.readPage(ctx, from, !first)`, `c.readPage(ctx, from, false)`},
 	{"controllers other than the owner stop cancelled tasks", "coordination/controller/probes.go", `c.stopCancelledTasks(machine, heartbeat)`, `_ = machine`},
 	{"machines with misplaced cancelled tasks are probed repeatedly", "coordination/health/misplaced_tasks.go", `t.SinceProbe >= interval`, `t.SinceProbe > 1000*interval`},
@@ -71,7 +71,7 @@
 	}
 	if t.Age > limit {`},
 	{"a controller without any contact starts no tasks", "coordination/controller/reconcile.go", `if !c.hasNoContact(now) && `, `if `},
-	{"cancellations are repeated in rotation", "coordination/controller/peers.go", `c.nextRepeated = jobID`, `c.nextRepeated = ""`},
+	{"cancellations are repeated in rotation", "coordination/controller/cancellationnotices.go", `c.nextRepeated = jobID`, `c.nextRepeated = ""`},
 	{"the cancel deadline counts from the recorded time", "coordination/replica/job.go", `record.CancelledAtMs != 0 && at.Before(j.FinalAt)`, `false && at.Before(j.FinalAt)`},
 	{"a claim change is conditional on the team's usage record", "coordination/controller/limits.go", `return append(compares, kv.Compare{Key: key, Version: usage.Version}), []kv.Op`, `return compares, []kv.Op`},
 	{"a claim change is conditional on the team's limit record", "coordination/controller/limits.go", `	compares = append(compares, c.view.Quota.LimitCompares(team)...)`, ``},
