A call counts as executed by its answer within its timeout, a watch when it was sent

What callers saw: a controller that is paused as an outage for all begins, and resumes in it, made the others answer /ready with 503 and keep cancelled tasks' machines for 4.5 s (emulated cluster).

Cause: the last executed call was dated by when its answer was read. After a pause that is an answer from before, above all that of the open watch, and its time was reported to the others.

Evidence: the simulation now checks in every script that a controller which was ready stays so in an outage, from 7 s after its begin on.

Fix: a call counts as executed when its answer is read, at most its timeout after it was sent; a watch when it was sent.

--- a/internal/emulator/statestore.go
+++ b/internal/emulator/statestore.go
@@ -66,6 +66,7 @@
 	lastLeaseID        uint64
 	changed            chan struct{} // closed and replaced at every change
 	down               bool
+	downSince          time.Time
 	requestLimiter     *rate.Limiter
 	writeLimiter       *rate.Limiter
 	counts             Counts
@@ -169,6 +170,16 @@
 	}
 }
 
+// DownSince returns when the outage that lasts has begun, or the zero time if there is none.
+func (s *StateService) DownSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		return time.Time{}
+	}
+	return s.downSince
+}
+
 // Keys returns the stored values by key, for checks at the end of a test.
 func (s *StateService) Keys() map[string]json.RawMessage {
 	s.mu.Lock()
@@ -226,6 +237,9 @@
 func (s *StateService) setOutage(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if down && !s.down {
+		s.downSince = time.Now()
+	}
 	s.down = down
 	for _, lease := range s.leases {
 		lease.expires = time.Now().Add(lease.ttl)
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -61,7 +61,8 @@
 	case`, `		return now
 	case`},
 	{"a controller is refused alone only if others are served later", "coordination/controller/stateaccess.go", `if isLater && r.isServed(node, now) {`, `if _ = isLater; r.isServed(node, now) {`},
-	{"a watch that runs out is no executed call", "storage/kv/watch.go", `if status == http.StatusGone || len(answer.Changes) > 0 {`, `if status == http.StatusGone || status == http.StatusOK {`},
+	{"a watch counts as executed when it was sent", "storage/kv/watch.go", `w.connection.recordExecuted(status, sentAt)`, `w.connection.recordExecuted(status, time.Now().Add(0*time.Since(sentAt)))`},
+	{"a call counts as executed within its timeout", "storage/kv/connection.go", `	c.recordExecuted(status, answeredBy)`, `	c.recordExecuted(status, time.Now())`},
 	{"a committed record is sent with its revision", "coordination/controller/keyupdates.go", `newKeyUpdate(key, record, revision)`, `newKeyUpdate(key, record, max(revision, c.view.Versions[key]))`},
 	{"a refused page does not end a list", "storage/kv/list.go", `c.readPage(ctx, from, !first)`, `c.readPage(ctx, from, false)`},
 	{"controllers other than the owner stop cancelled tasks", "coordination/controller/probes.go", `c.stopCancelledTasks(machine, heartbeat)`, `_ = machine`},
--- a/internal/simtest/play.go
+++ b/internal/simtest/play.go
@@ -35,6 +35,7 @@
 		return out
 	}
 	go c.watchStaleOwnership()
+	go c.watchReadiness()
 	if observe != nil {
 		go observe(c)
 	}
--- a/internal/storage/kv/client.go
+++ b/internal/storage/kv/client.go
@@ -69,9 +69,9 @@
 // MaxValueBytes returns the maximum size of a value under the limits known to be in effect.
 func (c *Client) MaxValueBytes() int { return c.limiter.limits.effective().MaxValueBytes }
 
-// LastSuccess returns when this client last got an answer with a status below 429, which
-// shows that the state service executed the call. Watches count only if their answer has changes
-// or says that the changes were compacted.
+// LastSuccess returns when the state service last executed a call of this client, as far as the
+// answers show: an answer with a status below 429 shows that it executed the call, a watch when
+// it was sent, any other call when the answer arrived.
 func (c *Client) LastSuccess() time.Time { return time.Unix(0, c.connection.lastSuccess.Load()) }
 
 // Get reads one key. The errors of Get, List, Watch, GrantLease and KeepAlive are of type
--- a/internal/storage/kv/connection.go
+++ b/internal/storage/kv/connection.go
@@ -21,21 +21,32 @@
 type connection struct {
 	http        HTTPClient
 	addr        string
-	lastSuccess atomic.Int64 // time of the answer to the latest executed call, UnixNano
+	lastSuccess atomic.Int64 // when the state service last executed a call, as far as an answer shows, UnixNano
 }
 
 // call is send for a call that the state service answers as soon as it has executed it. It
-// records when an executed call was answered.
+// records that an executed call was executed when its answer arrived, but not later than its
+// timeout: a process that resumes after a pause reads answers that arrived long before.
 func (c *connection) call(ctx context.Context, method, target string, request, response any, timeout time.Duration) (int, error) {
+	answeredBy := time.Now().Add(timeout)
 	status, err := c.send(ctx, method, target, request, response, timeout)
-	if executed := status != 0 && status < http.StatusTooManyRequests; executed {
-		c.recordExecuted()
+	if now := time.Now(); now.Before(answeredBy) {
+		answeredBy = now
 	}
+	c.recordExecuted(status, answeredBy)
 	return status, err
 }
 
-// recordExecuted records that the state service has just executed a call.
-func (c *connection) recordExecuted() { c.lastSuccess.Store(time.Now().UnixNano()) }
+// recordExecuted records that the state service executed a call at a time, if the status of the
+// answer shows that it executed the call. A later time that is on record already remains.
+func (c *connection) recordExecuted(status int, at time.Time) {
+	executed := status != 0 && status < http.StatusTooManyRequests
+	for last := c.lastSuccess.Load(); executed && at.UnixNano() > last; last = c.lastSuccess.Load() {
+		if c.lastSuccess.CompareAndSwap(last, at.UnixNano()) {
+			return
+		}
+	}
+}
 
 // send sends request, unless it is nil, and decodes the answer into response, unless response
 // is nil. A status of 0 with an error means that there was no answer or that the request was
--- a/internal/storage/kv/watch.go
+++ b/internal/storage/kv/watch.go
@@ -25,9 +25,9 @@
 // watch returns the changes after the revision from in order, and the revision up to which they
 // are complete. It returns no changes if there are none within block.
 //
-// An answer without changes does not count as an executed call: open watches remain open through
-// an outage, and one that runs out then does not show that the state service executes calls
-// (TestWatchThatRunsOutIsNoExecutedCall).
+// A watch counts as executed when it was sent, not when it was answered: open watches remain open
+// through an outage, and one that runs out then does not show that the state service executes
+// calls (TestWatchCountsFromItsSending).
 func (w *watcher) watch(ctx context.Context, from uint64, block time.Duration) ([]Item, uint64, error) {
 	if err := w.limiter.waitForRequest(ctx); err != nil {
 		return nil, 0, err
@@ -35,10 +35,9 @@
 	target := protocol.PathWatch + "?under=" + url.QueryEscape(keyPrefix) + "&from=" + strconv.FormatUint(from, 10) +
 		"&blockMs=" + strconv.FormatInt(block.Milliseconds(), 10)
 	var answer wireWatch
+	sentAt := time.Now()
 	status, err := w.connection.send(ctx, http.MethodGet, target, nil, &answer, block+watchMargin)
-	if status == http.StatusGone || len(answer.Changes) > 0 {
-		w.connection.recordExecuted()
-	}
+	w.connection.recordExecuted(status, sentAt)
 	switch {
 	case err != nil:
 		return nil, 0, err
