A blocked job is called pending only once the watch has reached its acceptance

What callers saw: emulated cluster, after a zone's cut: jobs submitted to a controller of the zone are called pending although a job that they depend on was cancelled, and its user told, 36 to 42 s before (orphaned, bound 30 s).

Cause: status queries about blocked jobs wait for the watch to reach the revision of their confirmation; the answer to the submission did not, and took the dependency's state from a view that may be behind.

Fix: the acceptance is answered at the revision of its commit, or with 503 if the watch does not reach it in time.

--- a/internal/coordination/controller/accept.go
+++ b/internal/coordination/controller/accept.go
@@ -49,7 +49,7 @@
 		switch {
 		case err == nil:
 			c.log.Debug("job accepted", "job", jobID, "shards", record.Shards, "dependencies", len(record.Dependencies), "claimed", initial.claim != nil)
-			c.replyStatus(jobID, http.StatusCreated, time.Until(until), reply)
+			c.replyAccepted(jobID, revision, until, reply)
 			c.broadcastAccepted(key, record, revision)
 		case errors.Is(err, kv.ErrTooLarge) && !errors.Is(err, kv.ErrOutcomeUnknown):
 			reply(badRequest(errRecordTooLarge))
@@ -61,6 +61,18 @@
 	})
 }
 
+// replyAccepted answers the submission of a job that the commit of a revision has recorded. A job
+// that is blocked may depend on one whose cancellation this controller has not read, though a user
+// was told of it: it is called pending only once the watch has reached the commit
+// (pipeline-accepted-behind.trace).
+func (c *Controller) replyAccepted(jobID string, revision uint64, until time.Time, reply func(transport.Response)) {
+	if c.isUndecided(jobID) {
+		c.replyAtRevision(jobID, http.StatusCreated, revision, until, reply)
+		return
+	}
+	c.replyStatus(jobID, http.StatusCreated, time.Until(until), reply)
+}
+
 // resolveAcceptConflict answers a submission whose transaction failed because a record has
 // changed: the job's, since another controller has accepted the job, or one that the claim is
 // conditional on.
--- a/internal/coordination/controller/replies.go
+++ b/internal/coordination/controller/replies.go
@@ -88,10 +88,10 @@
 	}})
 }
 
-// replyAtRevision answers a status query once the watch has reached the revision that the state
-// service had after the query arrived: a linearizable read of all the jobs that this one
-// depends on.
-func (c *Controller) replyAtRevision(jobID string, revision uint64, until time.Time, reply func(transport.Response)) {
+// replyAtRevision answers a status query, or the submission of a job that depends on others, with
+// an HTTP status, once the watch has reached the revision that the state service had after the
+// request arrived: a linearizable read of all the jobs that this one depends on.
+func (c *Controller) replyAtRevision(jobID string, status int, revision uint64, until time.Time, reply func(transport.Response)) {
 	if revision == 0 {
 		reply(unavailable(shortRetry))
 		return
@@ -101,7 +101,7 @@
 			reply(unavailable(shortRetry))
 			return
 		}
-		c.replyStatus(jobID, http.StatusOK, time.Until(until), reply)
+		c.replyStatus(jobID, status, time.Until(until), reply)
 	}})
 	c.sendPendingReplies(time.Now())
 }
@@ -138,7 +138,7 @@
 	c.commitWithRevision(kv.PriorityUser, []kv.Compare{{Key: records.JobPrefix + jobID, Version: version}}, nil, within, func(err error, revision uint64) {
 		switch {
 		case err == nil && c.isUndecided(jobID):
-			c.replyAtRevision(jobID, revision, until, reply)
+			c.replyAtRevision(jobID, http.StatusOK, revision, until, reply)
 		case err == nil && c.jobStatus(jobID).known:
 			// The cached status may be newer than the confirmed one, but never older.
 			c.replyStatus(jobID, http.StatusOK, time.Until(until), reply)
