The check of guarantees does not count a claim's ended tasks as reserved

Cause: the check of the simulation adds the use of the team's other jobs to the whole reservation of the claim for which a task is preempted. The reservation includes the claim's tasks that were placed when it was recorded; if these end before the preemption, nothing uses that part any more.

Change: the check leaves out the tasks that were placed at the revision of the reservation and are done by now. In every other case it compares what it compared before, so it is equally strict.

Not shown: that the check finds a broken guarantee by itself.

--- a/internal/emulator/statestore.go
+++ b/internal/emulator/statestore.go
@@ -214,6 +214,18 @@
 	return nil, false, fmt.Errorf("revision %d did not change %s", revision, key)
 }
 
+// ChangesOf returns the kept changes of a key in their order.
+func (s *StateService) ChangesOf(key string) (changes []Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.history {
+		if cmp.Or(c.Set, c.Deleted) == key {
+			changes = append(changes, Change{Key: key, Value: c.Value, Version: c.Version})
+		}
+	}
+	return changes
+}
+
 // Versions returns the revision of each key's latest change.
 func (s *StateService) Versions() map[string]uint64 {
 	s.mu.Lock()
--- a/internal/emulator/usage.go
+++ b/internal/emulator/usage.go
@@ -52,6 +52,21 @@
 	return use
 }
 
+// DoneUse returns the CPUs and GPUs that those of the listed tasks of a job used that are done by
+// now. It is for use in OnStop, which is called with the world's lock held.
+func (w *World) DoneUse(jobID string, indexes []int) (use protocol.Resources) {
+	job := w.jobs[jobID]
+	if job == nil {
+		return use
+	}
+	for _, index := range indexes {
+		if job.tasksDone[index] {
+			use = use.Plus(job.Spec.TaskResources())
+		}
+	}
+	return use
+}
+
 // Running returns the number of a job's tasks that are on machines, or of all jobs' tasks if
 // the job ID is empty.
 func (w *World) Running(jobID string) int {
--- a/internal/simtest/preemption.go
+++ b/internal/simtest/preemption.go
@@ -14,7 +14,8 @@
 
 // checkPreemption checks that a stopped task is not preempted for a team that already has
 // its guarantee: the use of the team's other jobs and the resources reserved for the claim
-// for which the task is stopped must fit into the guarantee together. It returns a
+// for which the task is stopped must fit into the guarantee together. Tasks of the claim that
+// were placed when the reservation was recorded, and are done by now, use none of it. It returns a
 // description of the violation, or an empty string if there is none. The emulator calls it
 // with the world's lock held.
 func (c *cluster) checkPreemption(task, host string, use map[string]protocol.Resources) string {
@@ -34,6 +35,9 @@
 			continue
 		}
 		claimed := reservations.ByClaim[claimant].Use
+		if claimed != (protocol.Resources{}) {
+			claimed = claimed.Minus(c.world.DoneUse(jobID, c.placedAtReservation(key, claimant, claimed)))
+		}
 		for _, g := range [...]guaranteeUse{
 			{teams[team].GuaranteedCPUs, claimed.CPUs, use[team].CPUs, own.CPUs},
 			{teams[team].GuaranteedGPUs, claimed.GPUs, use[team].GPUs, own.GPUs},
@@ -46,6 +50,31 @@
 	return ""
 }
 
+// placedAtReservation lists the tasks of a claim that were placed when its present reservation was
+// recorded.
+func (c *cluster) placedAtReservation(reservationKey, claimKey string, reserved protocol.Resources) (indexes []int) {
+	recordedAt := uint64(0) // 0: the last change seen does not have the reservation
+	for _, change := range c.world.State.ChangesOf(updateKeyPrefix + reservationKey) {
+		var reservations records.Reservations
+		if json.Unmarshal(change.Value, &reservations) != nil || reservations.ByClaim[claimKey].Use != reserved {
+			recordedAt = 0
+		} else if recordedAt == 0 {
+			recordedAt = change.Version
+		}
+	}
+	var claim records.Claim
+	for _, change := range c.world.State.ChangesOf(updateKeyPrefix + claimKey) {
+		if change.Version < recordedAt {
+			claim = records.Claim{}
+			_ = json.Unmarshal(change.Value, &claim)
+		}
+	}
+	for _, placement := range claim.Placements {
+		indexes = append(indexes, placement.Task)
+	}
+	return indexes
+}
+
 // claimantOf returns the key of the claim for which a task is preempted, empty if the task
 // is not preempted, and the teams as they are configured.
 func (c *cluster) claimantOf(task, host string) (claimant string, teams map[string]protocol.Team) {
