The acceptance of a blocked job waits for the watch only where the view is behind

Change: the view records when the watch was sent by which it is complete. A dependency's cancellation that was told more than cancel_s ago is in every view that is complete up to half of that; only if it is not, the acceptance waits.

--- a/internal/coordination/controller/accept.go
+++ b/internal/coordination/controller/accept.go
@@ -63,10 +63,12 @@
 
 // replyAccepted answers the submission of a job that the commit of a revision has recorded. A job
 // that is blocked may depend on one whose cancellation this controller has not read, though a user
-// was told of it: it is called pending only once the watch has reached the commit
+// was told of it. It may be called pending for the cancel deadline from then on. So if the view
+// may lack changes of half that time, the answer waits until the watch has reached the commit
 // (pipeline-accepted-behind.trace).
 func (c *Controller) replyAccepted(jobID string, revision uint64, until time.Time, reply func(transport.Response)) {
-	if c.isUndecided(jobID) {
+	isBehind := time.Since(c.view.CompleteAt) > c.settings.Workers.CancelDeadline/2
+	if isBehind && c.isUndecided(jobID) {
 		c.replyAtRevision(jobID, http.StatusCreated, revision, until, reply)
 		return
 	}
--- a/internal/coordination/controller/watch.go
+++ b/internal/coordination/controller/watch.go
@@ -21,6 +21,7 @@
 // reads all records again when the next changes have been compacted.
 func (c *Controller) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		items, revision, err := c.store.List(ctx)
 		if err != nil {
 			c.log.Info("records read failed", "err", err)
@@ -29,6 +30,7 @@
 		}
 		c.mu.Lock()
 		c.view.Relist(items, revision)
+		c.view.CompleteAt = sentAt
 		c.mu.Unlock()
 		c.log.Info("records read", "records", len(items), "revision", revision)
 		c.followChanges(ctx, revision)
@@ -39,6 +41,7 @@
 // context ends.
 func (c *Controller) followChanges(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		items, upTo, err := c.store.Watch(ctx, revision, watchTimeout)
 		if errors.Is(err, kv.ErrCompacted) {
 			c.log.Info("watch compacted, reading all records")
@@ -55,6 +58,7 @@
 		}
 		revision = upTo
 		c.view.ReachRevision(revision)
+		c.view.CompleteAt = sentAt
 		c.mu.Unlock()
 		c.wake()
 		c.pause(ctx, watchPause)
--- a/internal/coordination/replica/view.go
+++ b/internal/coordination/replica/view.go
@@ -20,6 +20,9 @@
 	Loaded bool
 	// Revision is the revision up to which the view is complete.
 	Revision uint64
+	// CompleteAt is when the watch that reached Revision was sent: the view holds every change
+	// that was committed before. The owner of the view sets it.
+	CompleteAt time.Time
 	// Versions holds the revision of each key's cached version.
 	Versions map[string]uint64
 
