The emulator delivers late copies of executed commands; an attempt begins again

Need: the operators saw a task on two machines. Their records show one call with the start, executed and answered, whose copy reached the machine 15.6 s later, after the reap.

Change: two faults, "repeated commands" (copies of two in five executed direct calls, 0.1 s to 4 min later) and "kept commands" with the verb "repeat", which delivers every kept call again; "expect repeated N" bounds the tasks that copies start. The draws of existing faults are as before.

No behaviour of the controllers changes.

--- a/internal/emulator/commands.go
+++ b/internal/emulator/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"time"
 
 	"madderslip/internal/protocol"
@@ -46,6 +47,9 @@
 		status, response = jsonResponse(200, machine.heartbeat())
 	} else {
 		status, response = machine.handleCommands(body)
+		if status == http.StatusOK {
+			machine.repeatCommands(node, body)
+		}
 	}
 	w.mu.Unlock()
 	if !wait(ctx, delay) {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -54,6 +54,7 @@
 	machineCount   int
 	spareMachines  int                 // number of machines that the cloud can still rent out
 	provisioned    map[string][]string // hosts, by the name of the provision request
+	startsByCopies int                 // tasks that late copies of direct calls have started
 	heldDeliveries map[string][]func() // by host, messages to or from a hung or partitioned machine, delivered when the machine recovers
 	keptHeartbeats map[string][][]byte // by host, copies of heartbeats, replayed when a shard gets a new fencing token
 
--- a/internal/simtest/expectations.go
+++ b/internal/simtest/expectations.go
@@ -18,6 +18,7 @@
 	"large":    (*cluster).expectLarge,
 	"oversize": (*cluster).expectOversize,
 	"ready":    (*cluster).expectReady,
+	"repeated": (*cluster).expectStartsByCopies,
 	"returned": (*cluster).expectReturned,
 	// served PERCENT: of every class and team at least this share of the work was served
 	"served":  func(c *cluster, f command) error { return c.checkStarvation(float64(f.number(1)) / 100) },
@@ -116,6 +117,15 @@
 	return nil
 }
 
+// expectStartsByCopies checks "repeated MOST": late copies of direct calls have started at most
+// MOST tasks.
+func (c *cluster) expectStartsByCopies(f command) error {
+	if got := c.world.StartsByCopies(); got > f.number(1) {
+		return fmt.Errorf("late copies of direct calls started %d tasks", got)
+	}
+	return nil
+}
+
 // expectReady checks "ready COUNT|all": exactly COUNT controllers, or all that run, answer the load
 // balancer that they are ready.
 func (c *cluster) expectReady(f command) error {
--- a/internal/simtest/verbs_machines.go
+++ b/internal/simtest/verbs_machines.go
@@ -16,6 +16,8 @@
 		// spare COUNT: the number of machines that the cloud has left to rent
 		"spare": func(c *cluster, f command) error { c.world.SetSpare(f.number(1)); return nil },
 		"wave":  (*cluster).reclaimSpot,
+		// repeat HOST|all: copies of the direct calls that were kept arrive again
+		"repeat": (*cluster).repeatCommands,
 	}
 }
 
@@ -45,6 +47,20 @@
 	return nil
 }
 
+// repeatCommands executes "repeat HOST|all": a copy of each direct call that was kept since
+// "trouble kept commands on" arrives at its machine, or only at one machine. It is an error if no
+// call was kept.
+func (c *cluster) repeatCommands(f command) error {
+	host := "vm-" + f.arg(1)
+	if f.arg(1) == "all" {
+		host = ""
+	}
+	if c.world.RepeatCommands(host) == 0 {
+		return scriptErrorf("no calls are kept")
+	}
+	return nil
+}
+
 // killMachines executes "death PERCENT [ZONE]": that share of the machines crashes at once.
 func (c *cluster) killMachines(f command) error {
 	hosts := c.world.Hosts(false)
