A machine's fencing token rises before an attempt is reaped

What callers saw: a task on two machines at once, and teams above their limits. A start that had been executed and answered reached its machine once more after the worker had been told to forget the attempt (reap), and began it again beside its successor.

Cause: a start was void only under a later token of its shard or a later session. After a reap nothing but the token could refuse a copy, and the token stayed the same for as long as the owner lived. Class: a right (the start) that outlives what it was given for; the reap took away the worker's only other reason to refuse it.

Change: each machine has a token of its own, at least its shard's. Any revision at which the owner is known to own the shard is a valid token: later owners acquire the shard at a later revision. Before an answer reaps an attempt, the token of the answer rises above that of the attempt's direct start, by one, without a write, a call or a wait. It never passes the revision that the watch has reached; if it would, the shard gets a new token as before. It does not rise while a call with commands is in progress, since the machine would refuse that call.

--- a/internal/coordination/controller/agents.go
+++ b/internal/coordination/controller/agents.go
@@ -37,7 +37,7 @@
 func (c *Controller) recordRestart(shard *replica.Shard, machine *replica.Machine, heartbeat *protocol.Heartbeat) {
 	c.log.Info("agent restarted", "host", machine.Host, "sequence", heartbeat.Sequence, "last_sequence", machine.Agent.Heartbeat.Sequence, "agent_epoch", heartbeat.AgentEpoch)
 	machine.Agent.MinToken = max(machine.Agent.MinToken, machine.Agent.Heartbeat.FencingToken, shard.FencingToken)
-	shard.NeedsNewToken = true
+	shard.RenewToken(replica.RenewalRestart)
 	machine.Commands.Pending, machine.Agent.RunningSince = nil, make(map[string]time.Time)
 	machine.Commands.StartSentAt, machine.Commands.StopSentAt = make(map[string]time.Time), make(map[string]time.Time)
 	delete(c.pendingCommands, machine)
@@ -63,6 +63,7 @@
 	machine.Commands.Unknown = slices.DeleteFunc(machine.Commands.Unknown, func(start replica.UnknownStart) bool {
 		return heartbeat.FencingToken > start.FencingToken || heartbeat.AgentEpoch > start.AgentEpoch
 	})
+	machine.Commands.ForgetRefusedStarts(heartbeat.FencingToken)
 	if heartbeat.PreemptionNoticeS != nil && machine.Agent.PreemptionNoticeAt.IsZero() {
 		machine.Agent.PreemptionNoticeAt = now
 		c.log.Info("spot preemption notice", "host", machine.Host, "seconds", *heartbeat.PreemptionNoticeS)
@@ -167,7 +168,7 @@
 		return redirectTo(shard.NewOwner)
 	case shard.FencingToken == 0:
 		return c.respondWithoutToken(shard, heartbeat)
-	case heartbeat.FencingToken > shard.FencingToken:
+	case heartbeat.FencingToken > c.view.OwnedRevision(shard):
 		// The agent has a newer token, so another controller has acquired the shard. A response
 		// with status 200 would keep the agent with this controller until the lease of this
 		// controller expires.
@@ -205,7 +206,8 @@
 	if mayBeRestarted && !machine.Detector.Probing {
 		c.probeMachine(machine)
 	}
-	answer := protocol.HeartbeatResponse{FencingToken: shard.FencingToken, Commands: []protocol.Command{}}
+	machine.Commands.Token = max(machine.Commands.Token, heartbeat.FencingToken)
+	answer := protocol.HeartbeatResponse{Commands: []protocol.Command{}}
 	// If the agent may have restarted, this heartbeat may be late or the recorded one may be of
 	// an earlier incarnation. Neither is a basis for commands.
 	if !mayBeRestarted && c.observeHeartbeat(machine, heartbeat) {
@@ -214,6 +216,7 @@
 	if !mayBeRestarted && c.view.IsActive(shard) {
 		answer.Commands = append(answer.Commands, c.cleanupCommands(shard, machine)...)
 	}
+	answer.FencingToken = machine.CommandToken(shard)
 	body, err := protocol.Encode(answer)
 	if err != nil {
 		return unavailable(heartbeatRetrySeconds)
@@ -236,14 +239,12 @@
 		claim, placement := c.view.PlacementOf(machine, status.Task)
 		switch {
 		case placement != nil && placement.Attempt == status.Attempt:
-			if command, needed := c.cleanupPlaced(machine, claim, placement, status, now); needed {
+			if command, needed := c.cleanupPlaced(shard, machine, claim, placement, status, now); needed {
 				commands = append(commands, command)
 			}
 		case status.Phase != protocol.TaskExited:
 			commands = append(commands, protocol.StopCommand(status.Task, status.Attempt, 0))
-		case machine.HasUnconfirmedStart(status.Task, status.Attempt):
-			shard.RequestNewToken(machine)
-		default:
+		case c.view.MayReap(shard, machine, status.Task, status.Attempt):
 			commands = append(commands, protocol.ReapCommand(status.Task, status.Attempt))
 		}
 	}
@@ -253,13 +254,13 @@
 // cleanupPlaced returns the cleanup command for a task that is placed on its machine, and reports
 // whether the task needs one: a stop, or a reap for a task of a gang that waited too long for the
 // others and exited, so that it can start again.
-func (c *Controller) cleanupPlaced(machine *replica.Machine, claim *replica.Claim, placement *records.Placement, status *protocol.TaskStatus, now time.Time) (protocol.Command, bool) {
+func (c *Controller) cleanupPlaced(shard *replica.Shard, machine *replica.Machine, claim *replica.Claim, placement *records.Placement, status *protocol.TaskStatus, now time.Time) (protocol.Command, bool) {
 	grace, stop := c.shouldStop(claim, placement, now)
 	exited := status.Phase == protocol.TaskExited
 	if stop {
 		savesCheckpoint := status.Phase == protocol.TaskCheckpointing && grace != 0
 		return protocol.StopCommand(status.Task, status.Attempt, grace), !exited && !savesCheckpoint
 	}
-	startsAgain := exited && status.Cause == protocol.CauseGangTimeout && !machine.HasUnconfirmedStart(status.Task, status.Attempt)
+	startsAgain := exited && status.Cause == protocol.CauseGangTimeout && c.view.MayReap(shard, machine, status.Task, status.Attempt)
 	return protocol.ReapCommand(status.Task, status.Attempt), startsAgain
 }
--- a/internal/coordination/controller/commands.go
+++ b/internal/coordination/controller/commands.go
@@ -52,10 +52,11 @@
 	}
 	machine.Commands.Sending = true
 	machine.Commands.InFlight, machine.Commands.Pending = machine.Commands.Pending, nil
-	request := protocol.CommandRequest{FencingToken: shard.FencingToken, AgentEpoch: machine.Agent.Heartbeat.AgentEpoch, Commands: machine.Commands.InFlight}
+	request := protocol.CommandRequest{FencingToken: machine.CommandToken(shard), AgentEpoch: machine.Agent.Heartbeat.AgentEpoch, Commands: machine.Commands.InFlight}
 	if request.Commands == nil {
 		request.Commands = []protocol.Command{}
 	}
+	machine.Commands.RecordStarts(&request)
 	address, ctx := machine.Address(), c.ctx
 	c.log.Debug("commands sent", "host", machine.Host, "token", request.FencingToken, "commands", request.Commands)
 	go func() {
--- a/internal/coordination/controller/shards.go
+++ b/internal/coordination/controller/shards.go
@@ -89,7 +89,7 @@
 			machine.AdoptedAt = shard.OwnedSince
 		}
 	}
-	shard.FencingToken, shard.NeedsNewToken = token, false
+	shard.FencingToken, shard.Renewal = token, ""
 	c.view.MarkAllDirty(shard)
 	c.log.Info("shard acquired", "shard", shard.Name, "token", token)
 	c.publishToken(shard)
@@ -187,9 +187,9 @@
 	switch {
 	case shard.FencingToken == 0:
 		c.writeShard(shard, c.settings.NodeName, nil)
-	case shard.NeedsNewToken && now.Sub(shard.TokenRaisedAt) > tokenRaiseInterval:
+	case shard.Renewal != "" && now.Sub(shard.TokenRaisedAt) > tokenRaiseInterval:
 		shard.TokenRaisedAt = now
-		c.log.Info("fencing token renewal requested", "shard", shard.Name)
+		c.log.Info("fencing token renewal requested", "shard", shard.Name, "token", shard.FencingToken, "revision", c.view.Revision, "reason", shard.Renewal)
 		c.writeShard(shard, c.settings.NodeName, nil)
 	case c.shouldHandBack(shard, now):
 		c.log.Info("shard handed back", "shard", shard.Name)
--- a/internal/coordination/replica/commandqueue.go
+++ b/internal/coordination/replica/commandqueue.go
@@ -13,6 +13,8 @@
 	Sending     bool                 // a call that sends commands to the machine is in progress
 	InFlight    []protocol.Command   // the commands of the call in progress
 	Unknown     []UnknownStart       // sent starts of which it is unknown whether the agent executed them
+	Token       uint64               // the machine's own fencing token; 0: its shard's
+	StartTokens map[string]uint64    // by task: the token of its latest direct start, unless the agent has shown a higher one
 	StartSentAt map[string]time.Time // by task: when a start was last sent
 	StopSentAt  map[string]time.Time // by task: when a stop was last sent
 }
--- /dev/null
+++ b/internal/coordination/replica/machinetoken.go
@@ -0,0 +1,77 @@
+package replica
+
+import (
+	"maps"
+
+	"madderslip/internal/protocol"
+)
+
+// A direct start that an agent has executed and answered may arrive at the agent again, minutes
+// later. As long as the agent keeps the attempt, exited or not, the copy has no effect. Once the
+// attempt is reaped, only a fencing token above that of the start refuses the copy.
+//
+// Each machine therefore has a token of its own, which is its shard's token or a higher one, and
+// which rises without a write. Every revision at which a process is known to own a shard is a
+// valid token: it is above the tokens of all earlier owners and below those of all later ones,
+// who acquire the shard at a later revision.
+
+// OwnedRevision returns the latest revision at which this process is known to own a shard, or 0
+// if it does not own the shard.
+func (v *View) OwnedRevision(shard *Shard) uint64 {
+	if shard == nil || shard.FencingToken == 0 {
+		return 0
+	}
+	return max(shard.FencingToken, v.Revision)
+}
+
+// CommandToken returns the fencing token of the messages that this process sends to a machine of
+// a shard that it owns.
+func (m *Machine) CommandToken(shard *Shard) uint64 {
+	return max(shard.FencingToken, m.Commands.Token)
+}
+
+// RaiseToken makes the fencing token of a machine higher than a given one and reports whether it
+// is. If this process is not known to own the shard at a higher revision, the shard needs a new
+// token.
+func (v *View) RaiseToken(shard *Shard, machine *Machine, above uint64) bool {
+	if machine.CommandToken(shard) > above {
+		return true
+	}
+	if v.OwnedRevision(shard) <= above {
+		shard.RenewToken(RenewalNoRevision)
+		return false
+	}
+	machine.Commands.Token = above + 1
+	shard.TokenRaises++
+	return true
+}
+
+// RecordStarts records the token under which starts are sent directly.
+func (q *CommandQueue) RecordStarts(request *protocol.CommandRequest) {
+	for _, command := range request.Commands {
+		if command.Verb == protocol.VerbStart {
+			q.StartTokens[command.Task] = request.FencingToken
+		}
+	}
+}
+
+// ForgetRefusedStarts drops the records of starts that an agent refuses which has received a
+// token.
+func (q *CommandQueue) ForgetRefusedStarts(received uint64) {
+	maps.DeleteFunc(q.StartTokens, func(_ string, token uint64) bool { return token < received })
+}
+
+// MayReap reports whether an exited attempt may be reaped in the answer to a heartbeat of its
+// machine. The answer then carries a token above that of every direct start of the attempt. The
+// token does not rise while a call with commands is in progress, which the agent would refuse.
+func (v *View) MayReap(shard *Shard, machine *Machine, task string, attempt uint64) bool {
+	if machine.HasUnconfirmedStart(task, attempt) {
+		shard.RequestNewToken(machine)
+		return false
+	}
+	sent := machine.Commands.StartTokens[task]
+	if sent < machine.CommandToken(shard) {
+		return true
+	}
+	return !machine.Commands.Sending && v.RaiseToken(shard, machine, sent)
+}
--- a/internal/coordination/replica/shard.go
+++ b/internal/coordination/replica/shard.go
@@ -36,11 +36,14 @@
 type Ownership struct {
 	// FencingToken is the revision at which this process acquired the shard; 0: this
 	// process does not own the shard.
-	FencingToken   uint64
-	OwnedSince     time.Time
-	Writing        bool // a change of the shard's record is in progress
-	NeedsNewToken  bool // a new token is needed, to invalidate messages or commands sent under the present one
+	FencingToken uint64
+	OwnedSince   time.Time
+	Writing      bool // a change of the shard's record is in progress
+	// Renewal is why a new token is needed, to invalidate messages or commands sent under the
+	// present one; empty: none is needed.
+	Renewal        RenewalReason
 	TokenRaisedAt  time.Time
+	TokenRaises    int       // number of times that the token of one of the shard's machines was raised
 	OwnerlessSince time.Time // since when this process observes that the owner's lease has expired; zero: the lease has not expired
 	// NewOwner is a controller that reported its ownership of the shard before the shard's
 	// record arrived here, and NewOwnerToken is its fencing token. Empty: none.
@@ -48,6 +51,18 @@
 	NewOwnerToken uint64
 }
 
+// RenewalReason is why a shard needs a new fencing token, as the log spells it.
+type RenewalReason string
+
+const (
+	RenewalUnknownStart RenewalReason = "start of unknown outcome"   // a start may still be executed under the present token
+	RenewalRestart      RenewalReason = "agent restarted"            // messages of an agent's former incarnation may arrive
+	RenewalNoRevision   RenewalReason = "no later revision is owned" // a machine's token cannot rise without a write
+)
+
+// RenewToken requests a new fencing token for the shard.
+func (s *Shard) RenewToken(reason RenewalReason) { s.Renewal = reason }
+
 // ImageRecording is the progress of recording which images a shard's machines cache.
 type ImageRecording struct {
 	RecordingImages  bool
@@ -98,7 +113,7 @@
 func (s *Shard) RequestNewToken(machine *Machine) {
 	hasContactSince := func(start UnknownStart) bool { return machine.Agent.LastContact.After(start.SentAt) }
 	if !machine.Detector.Reachability.LikelyCannotReceive() && slices.ContainsFunc(machine.Commands.Unknown, hasContactSince) {
-		s.NeedsNewToken = true
+		s.RenewToken(RenewalUnknownStart)
 	}
 }
 
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -148,7 +148,7 @@
 `},
 	{"leadership follows the leader record, not the commit's answer", "coordination/controller/leadership.go", `c.leadership.isSelf = record.Node == c.settings.NodeName && record.StartedAtMs == c.startedAt.UnixMilli(); c.leadership.isSelf {`, `c.leadership.isSelf = record.Node == c.settings.NodeName && record.StartedAtMs == c.startedAt.UnixMilli() && !c.leadership.campaigning; c.leadership.isSelf {`},
 	{"an empty set of orphan claims is removed", "coordination/replica/view_claims.go", `if delete(set, claim.Key); len(set) == 0 {`, `if delete(set, claim.Key); false {`},
-	{"a partitioned controller extends leases for an unreachable owner", "coordination/controller/leases.go", `	if heartbeat.FencingToken > shard.Version || !failover.MayExtendLease`, `	if true || heartbeat.FencingToken > shard.Version || !failover.MayExtendLease`},
+	{"a partitioned controller extends leases for an unreachable owner", "coordination/controller/leases.go", `	if heartbeat.FencingToken > max(shard.Version, c.view.Revision) || !failover.MayExtendLease`, `	if true || heartbeat.FencingToken > max(shard.Version, c.view.Revision) || !failover.MayExtendLease`},
 	{"machines of a zone that seems partitioned are not fenced", "coordination/controller/failuredetection.go", `	return seen && now.Sub(at)`, `	return false && seen && now.Sub(at)`},
 	{"no lease is extended for a cancelled task", "coordination/controller/leases.go", `status.Phase != protocol.TaskExited && (`, `false && (`},
 	{"silence counts from the end of a pause", "coordination/controller/failuredetection.go", `	if resumed := c.pauses.ResumedAt(); resumed.After(machine.AdoptedAt) {`, `	if resumed := c.pauses.ResumedAt(); false && resumed.After(machine.AdoptedAt) {`},
