The emulator bounds reports of a higher token; the load test repeats commands

Need: a worker reports a higher token at once only once per half of its lease; the emulator's workers did so each time, which hides what tokens that rise often cost. The load test had no late copies of commands and no figure for the longest list of tasks in a heartbeat.

--- a/internal/emulator/agent.go
+++ b/internal/emulator/agent.go
@@ -92,6 +92,7 @@
 		task := m.tasks[name]
 		h.Tasks = append(h.Tasks, protocol.TaskStatus{Task: name, Attempt: task.attempt, Phase: task.phase, Cause: task.cause, Checkpointed: task.checkpointed})
 	}
+	m.world.longestHeartbeat = max(m.world.longestHeartbeat, len(h.Tasks))
 	return h
 }
 
@@ -248,10 +249,15 @@
 }
 
 // raiseToken raises the worker's fencing token if the given one is higher, and then makes
-// the agent report it soon. The world's lock is held by the caller.
+// the agent report it soon, at most once in half of its lease. The world's lock is held by the
+// caller.
 func (m *Machine) raiseToken(token uint64) {
-	if token > m.fencingToken {
-		m.fencingToken = token
+	if token <= m.fencingToken {
+		return
+	}
+	m.fencingToken = token
+	if time.Since(m.tokenWokeAt) >= m.byWorkerClock(m.world.Workers.LeaseDuration/2) {
+		m.tokenWokeAt = time.Now()
 		m.wakeAgent()
 	}
 }
--- a/internal/loadtest/config.go
+++ b/internal/loadtest/config.go
@@ -46,13 +46,14 @@
 	faultCrash  = "crash"  // a controller is killed and started again after ForS
 	faultSlow   = "slow"   // during ForS, calls to the state service are delayed
 	faultReboot = "reboot" // the machines of a part of the workers reboot
+	faultCopies = "copies" // from then on, copies of executed direct calls arrive at the workers again
 )
 
 // Fault is a fault that is injected during the measured time.
 type Fault struct {
 	AtS  float64 `toml:"at_s"` // start, counted from the end of the warm-up
 	Kind string  `toml:"kind"`
-	ForS float64 `toml:"for_s"` // duration of the fault; not used for reboots
+	ForS float64 `toml:"for_s"` // duration of the fault; not used for reboots and copies
 	Part float64 `toml:"part"`  // share of the workers that reboot, from 0 to 1
 }
 
@@ -125,9 +126,9 @@
 	for i, fault := range c.Faults {
 		key := fmt.Sprintf("trouble[%d]", i)
 		switch fault.Kind {
-		case faultCrash, faultSlow, faultReboot:
+		case faultCrash, faultSlow, faultReboot, faultCopies:
 		default:
-			return &ConfigError{Key: key + ".kind", Reason: fmt.Sprintf("must be crash, slow or reboot, has %q", fault.Kind)}
+			return &ConfigError{Key: key + ".kind", Reason: fmt.Sprintf("must be crash, slow, reboot or copies, has %q", fault.Kind)}
 		}
 		timesInRange := fault.AtS >= 0 && fault.AtS <= c.MeasureS && fault.ForS >= 0
 		if !timesInRange || !(fault.Part >= 0 && fault.Part <= 1) {
--- a/internal/loadtest/counters.go
+++ b/internal/loadtest/counters.go
@@ -88,6 +88,9 @@
 		Commands:    perSecond(commands.requests),
 		Submitted:   to.submitted - from.submitted,
 		Accepted:    to.accepted - from.accepted,
+
+		LongestReport:  m.world.LongestHeartbeat(),
+		StartsByCopies: m.world.StartsByCopies(),
 	}
 	if starts > 0 {
 		result.ChangesPerStart = round(float64(changes) / float64(starts))
--- a/internal/loadtest/fault.go
+++ b/internal/loadtest/fault.go
@@ -20,6 +20,8 @@
 		m.world.SetFault("slow", true)
 		pause(ctx, protocol.Seconds(fault.ForS))
 		m.world.SetFault("slow", false)
+	case faultCopies:
+		m.world.SetFault("repeated commands", true)
 	case faultReboot:
 		hosts := m.world.Hosts(false)
 		for _, host := range hosts[:int(fault.Part*float64(len(hosts)))] {
