A restarted machine gets a higher token with its first answer

What callers would see: a machine that came back within a second has forgotten its attempts and its token. What a copy had begun before that answer was stopped only with a later heartbeat.

Cause: the restart was answered by a new token of the shard, at a pace of its own, instead of by the answer itself.

Change: the first answer after a possible restart carries a token above every start sent to the machine; a proved restart raises the machine's token, without a write, and stops at once what the machine shows that is not placed there.

Evidence: TestFirstAnswerAfterRestartRefusesEarlierStarts fails without the rise; late-start-before-image holds that no copy gets as far as running where the image is missing.

--- a/internal/coordination/controller/agents.go
+++ b/internal/coordination/controller/agents.go
@@ -32,16 +32,37 @@
 
 // recordRestart records the answer to a direct call that proves that a machine has restarted.
 // Messages of the earlier incarnation may still arrive and look newer than those of the present
-// incarnation: such a message could show a task as exited that runs again. So a higher fencing
-// token is requested, and the machine's further messages are ignored until it shows that token.
+// incarnation: such a message could show a task as exited that runs again. So the machine's token
+// is raised, and its further messages are ignored until it shows the new token. Tasks that are
+// not placed there were begun by a late copy of a start, and are stopped at once.
 func (c *Controller) recordRestart(shard *replica.Shard, machine *replica.Machine, heartbeat *protocol.Heartbeat) {
 	c.log.Info("agent restarted", "host", machine.Host, "sequence", heartbeat.Sequence, "last_sequence", machine.Agent.Heartbeat.Sequence, "agent_epoch", heartbeat.AgentEpoch)
-	machine.Agent.MinToken = max(machine.Agent.MinToken, machine.Agent.Heartbeat.FencingToken, shard.FencingToken)
-	shard.RenewToken(replica.RenewalRestart)
+	machine.Agent.MinToken = max(machine.Agent.MinToken, machine.Agent.Heartbeat.FencingToken, machine.CommandToken(shard))
+	if !c.view.RaiseToken(shard, machine, machine.Agent.MinToken) {
+		shard.RenewToken(replica.RenewalRestart)
+	}
 	machine.Commands.Pending, machine.Agent.RunningSince = nil, make(map[string]time.Time)
 	machine.Commands.StartSentAt, machine.Commands.StopSentAt = make(map[string]time.Time), make(map[string]time.Time)
 	delete(c.pendingCommands, machine)
 	c.recordHeartbeat(machine, heartbeat)
+	if c.view.IsActive(shard) {
+		c.queueCommands(shard, machine, c.stopsOfUnplaced(machine)...)
+	}
+}
+
+// stopsOfUnplaced returns a stop for each task that a machine shows and that is not placed there.
+// An attempt that is not placed is never placed later, so the stops are correct at any time.
+func (c *Controller) stopsOfUnplaced(machine *replica.Machine) []protocol.Command {
+	var stops []protocol.Command
+	for i := range machine.Agent.Heartbeat.Tasks {
+		status := &machine.Agent.Heartbeat.Tasks[i]
+		_, placement := c.view.PlacementOf(machine, status.Task)
+		isPlaced := placement != nil && placement.Attempt == status.Attempt
+		if !isPlaced && status.Phase != protocol.TaskExited {
+			stops = append(stops, protocol.StopCommand(status.Task, status.Attempt, 0))
+		}
+	}
+	return stops
 }
 
 // recordHeartbeat stores a heartbeat as the newest of its machine and marks the claims that must
@@ -208,6 +229,11 @@
 	}
 	machine.Commands.Token = max(machine.Commands.Token, heartbeat.FencingToken)
 	answer := protocol.HeartbeatResponse{Commands: []protocol.Command{}}
+	if mayBeRestarted {
+		// A restarted agent has forgotten every attempt and accepts the copies of all starts
+		// whose token is not below that of this answer.
+		c.view.RaiseToken(shard, machine, machine.Commands.HighestStartToken())
+	}
 	// If the agent may have restarted, this heartbeat may be late or the recorded one may be of
 	// an earlier incarnation. Neither is a basis for commands.
 	if !mayBeRestarted && c.observeHeartbeat(machine, heartbeat) {
--- a/internal/coordination/controller/probes.go
+++ b/internal/coordination/controller/probes.go
@@ -172,7 +172,7 @@
 	// The machine answers but has not received the current token yet: an earlier owner that is
 	// partitioned from the state service and from the other controllers may still answer its agent.
 	// Once the machine has received the token, the agent ignores the answers of that owner.
-	if machine.Record.State == records.MachineInUse && heartbeat.FencingToken < shard.FencingToken {
+	if machine.Record.State == records.MachineInUse && heartbeat.FencingToken < machine.CommandToken(shard) {
 		c.sendCommands(shard, machine)
 	}
 }
--- a/internal/coordination/replica/machinetoken.go
+++ b/internal/coordination/replica/machinetoken.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// HighestStartToken returns the highest token under which a start was sent directly that the
+// agent may still execute, or 0 if there is none.
+func (q *CommandQueue) HighestStartToken() uint64 {
+	highest := uint64(0)
+	for _, token := range q.StartTokens {
+		highest = max(highest, token)
+	}
+	return highest
+}
+
 // ForgetRefusedStarts drops the records of starts that an agent refuses which has received a
 // token.
 func (q *CommandQueue) ForgetRefusedStarts(received uint64) {
