--- a/internal/coordination/controller/heartbeats_test.go
+++ b/internal/coordination/controller/heartbeats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +103,25 @@
 		}
 	})
 }
+
+// TestRestartStopsTasksThatAreNotPlaced guards against attempts that a late copy began and that run on until the next heartbeat.
+func TestRestartStopsTasksThatAreNotPlaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := newFleet(t, 30)
+		controller.mu.Lock()
+		defer controller.mu.Unlock()
+		shard := controller.view.Shards["n0"]
+		machine := shard.Machines[0]
+		controller.respondToHeartbeat(heartbeatOf(machine, 88))
+		before := machine.CommandToken(shard)
+		restarted := heartbeatOf(machine, 1)
+		restarted.Tasks = append(restarted.Tasks, protocol.TaskStatus{Task: "wk-77/0", Attempt: 1, Phase: protocol.TaskFetching})
+		controller.recordRestart(shard, machine, restarted)
+		if want := []protocol.Command{protocol.StopCommand("wk-77/0", 1, 0)}; !reflect.DeepEqual(machine.Commands.Pending, want) {
+			t.Errorf("queued %v, want %v", machine.Commands.Pending, want)
+		}
+		if machine.CommandToken(shard) <= before || machine.ShowsToken(shard) {
+			t.Errorf("token %d after %d, the status counts: %v", machine.CommandToken(shard), before, machine.ShowsToken(shard))
+		}
+	})
+}
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -33,8 +33,8 @@
 	// faultRepeatedCommands: up to three copies of two in five of the direct calls that a worker
 	// has executed arrive again, 0.1 s to 4 min later.
 	faultRepeatedCommands = "repeated commands"
-	// faultKeptCommands: every direct call that a worker has executed is kept, and a copy of it
-	// arrives again each time that RepeatCommands is called.
+	// faultKeptCommands: every direct call with a start that a worker has executed is kept, and a
+	// copy of it arrives again each time that RepeatCommands is called.
 	faultKeptCommands = "kept commands"
 	// faultStaleHeartbeats: copies of two in five of the workers' heartbeats are kept and
 	// delivered to every controller when a shard gets a new fencing token.
--- a/internal/emulator/repeatedcommands.go
+++ b/internal/emulator/repeatedcommands.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -18,12 +19,15 @@
 // maxCopies is the largest number of copies of one call that arrive.
 const maxCopies = 3
 
+// startCommand is the text that a call with a start command contains.
+var startCommand = []byte(`"verb":"` + verbStart + `"`)
+
 // repeatCommands makes copies of two in five of the direct calls that a worker has executed
-// arrive again later, and keeps the call for RepeatCommands if it is to be kept. The world's
-// lock is held by the caller.
+// arrive again later, and keeps a call with a start for RepeatCommands if it is to be kept. The
+// world's lock is held by the caller.
 func (m *Machine) repeatCommands(node string, body []byte) {
 	w := m.world
-	if w.hasFault(faultKeptCommands) {
+	if w.hasFault(faultKeptCommands) && bytes.Contains(body, startCommand) {
 		m.keptCommands = append(m.keptCommands, func() { m.deliverCopy(node, body) })
 	}
 	if !w.hasFault(faultRepeatedCommands) || !w.chance(40, "again", m.host, string(body)) {
