A start of unknown outcome raises its machine's token alone

A machine's own token does the same with one call.

Change: the owner raises the token of that machine and sends it at once. An exited attempt with such a start is reaped at once: the answer that reaps it carries the higher token. That the placement is gone still waits for a status under the higher token.

--- a/internal/coordination/controller/commands.go
+++ b/internal/coordination/controller/commands.go
@@ -103,6 +103,14 @@
 	return status != http.StatusOK && status != http.StatusConflict
 }
 
+// voidUnknownStarts raises the token of a machine that has starts of unknown outcome, if it is
+// likely to receive calls, and sends the token at once.
+func (c *Controller) voidUnknownStarts(shard *replica.Shard, machine *replica.Machine) {
+	if c.view.VoidUnknownStarts(shard, machine) && machine.Address() != "" {
+		c.sendCommands(shard, machine)
+	}
+}
+
 // recordUnknownStarts records the start commands of a request whose outcome is unknown.
 func recordUnknownStarts(machine *replica.Machine, request protocol.CommandRequest) {
 	for _, command := range request.Commands {
--- a/internal/coordination/controller/probes.go
+++ b/internal/coordination/controller/probes.go
@@ -57,7 +57,7 @@
 	if c.shouldProbe(machine, silence, now) {
 		c.probeMachine(machine)
 	}
-	shard.RequestNewToken(machine)
+	c.voidUnknownStarts(shard, machine)
 	switch {
 	case c.isUnreachable(shard, machine, silence, now):
 		c.log.Info("machine fenced, heartbeats do not arrive", "host", machine.Host)
--- a/internal/coordination/controller/reconcile.go
+++ b/internal/coordination/controller/reconcile.go
@@ -226,7 +226,7 @@
 		// machine that cannot receive would not start the task. A machine that cannot report
 		// would lose the task when its lease expires; but while the state service is down the
 		// task cannot be placed elsewhere either, so it is started anyway.
-		return task.classifyNotStarted()
+		return c.classifyNotStarted(task)
 	}
 	c.sendStart(task, now)
 	return outcomePending
@@ -256,7 +256,7 @@
 		return outcomePending
 	}
 	if task.machine.HasUnconfirmedStart(task.name, task.placement.Attempt) {
-		task.shard.RequestNewToken(task.machine)
+		c.voidUnknownStarts(task.shard, task.machine)
 		return outcomePending
 	}
 	if task.status.Cause == protocol.CauseGangTimeout && !stop {
@@ -271,9 +271,9 @@
 
 // classifyNotStarted classifies a placement that its machine does not show and that must not
 // start any more. The placement is gone once no earlier start command can be executed late.
-func (t *placedTask) classifyNotStarted() outcome {
+func (c *Controller) classifyNotStarted(t *placedTask) outcome {
 	if t.machine.HasUnconfirmedStart(t.name, t.placement.Attempt) {
-		t.shard.RequestNewToken(t.machine)
+		c.voidUnknownStarts(t.shard, t.machine)
 		return outcomePending
 	}
 	return outcomeGone
--- a/internal/coordination/replica/commandqueue.go
+++ b/internal/coordination/replica/commandqueue.go
@@ -32,11 +32,17 @@
 	SentAt       time.Time
 }
 
-// HasUnconfirmedStart reports whether a start of a task's attempt may still be executed.
+// HasUnconfirmedStart reports whether a start of a task's attempt may still be executed for the
+// first time.
 func (m *Machine) HasUnconfirmedStart(task string, attempt uint64) bool {
+	isSameStart := func(start UnknownStart) bool { return start.Task == task && start.Attempt == attempt }
+	return m.HasQueuedStart(task, attempt) || slices.ContainsFunc(m.Commands.Unknown, isSameStart)
+}
+
+// HasQueuedStart reports whether a start of a task's attempt is queued or being sent.
+func (m *Machine) HasQueuedStart(task string, attempt uint64) bool {
 	isSameStart := func(command protocol.Command) bool {
 		return command.Verb == protocol.VerbStart && command.Task == task && command.Attempt == attempt
 	}
-	return slices.ContainsFunc(m.Commands.Pending, isSameStart) || slices.ContainsFunc(m.Commands.InFlight, isSameStart) ||
-		slices.ContainsFunc(m.Commands.Unknown, func(start UnknownStart) bool { return start.Task == task && start.Attempt == attempt })
+	return slices.ContainsFunc(m.Commands.Pending, isSameStart) || slices.ContainsFunc(m.Commands.InFlight, isSameStart)
 }
--- a/internal/coordination/replica/machinetoken.go
+++ b/internal/coordination/replica/machinetoken.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"madderslip/internal/protocol"
 )
@@ -71,12 +72,28 @@
 	maps.DeleteFunc(q.StartTokens, func(_ string, token uint64) bool { return token < received })
 }
 
+// VoidUnknownStarts raises the token of a machine that has starts of unknown outcome, and reports
+// whether it rose: once the machine reports the token, these starts cannot be executed any more.
+// The machine must have been in contact since such a start and must be likely to receive calls:
+// otherwise it could not report the token.
+func (v *View) VoidUnknownStarts(shard *Shard, machine *Machine) bool {
+	hasContactSince := func(start UnknownStart) bool { return machine.Agent.LastContact.After(start.SentAt) }
+	if machine.Detector.Reachability.LikelyCannotReceive() || !slices.ContainsFunc(machine.Commands.Unknown, hasContactSince) {
+		return false
+	}
+	before := machine.CommandToken(shard)
+	for _, start := range machine.Commands.Unknown {
+		v.RaiseToken(shard, machine, start.FencingToken)
+	}
+	return machine.CommandToken(shard) > before
+}
+
 // MayReap reports whether an exited attempt may be reaped in the answer to a heartbeat of its
-// machine. The answer then carries a token above that of every direct start of the attempt. The
-// token does not rise while a call with commands is in progress, which the agent would refuse.
+// machine. The answer then carries a token above that of every direct start of the attempt, also
+// of those whose outcome is unknown. The token does not rise while a call with commands is in
+// progress, which the agent would refuse.
 func (v *View) MayReap(shard *Shard, machine *Machine, task string, attempt uint64) bool {
-	if machine.HasUnconfirmedStart(task, attempt) {
-		shard.RequestNewToken(machine)
+	if machine.HasQueuedStart(task, attempt) {
 		return false
 	}
 	sent := machine.Commands.StartTokens[task]
--- a/internal/coordination/replica/shard.go
+++ b/internal/coordination/replica/shard.go
@@ -55,9 +55,8 @@
 type RenewalReason string
 
 const (
-	RenewalUnknownStart RenewalReason = "start of unknown outcome"   // a start may still be executed under the present token
-	RenewalRestart      RenewalReason = "agent restarted"            // messages of an agent's former incarnation may arrive
-	RenewalNoRevision   RenewalReason = "no later revision is owned" // a machine's token cannot rise without a write
+	RenewalRestart    RenewalReason = "agent restarted"            // messages of an agent's former incarnation may arrive
+	RenewalNoRevision RenewalReason = "no later revision is owned" // a machine's token cannot rise without a write
 )
 
 // RenewToken requests a new fencing token for the shard.
@@ -104,19 +103,6 @@
 	return shard != nil && shard.FencingToken != 0 && v.Revision >= shard.FencingToken
 }
 
-// RequestNewToken requests a new fencing token if a machine has starts of unknown outcome:
-// once the machine reports the token, these starts cannot be executed any more. The machine
-// must have been in contact since such a start and must be likely to receive calls: otherwise
-// the machine could not report the token, and each new token is sent to every machine of the
-// shard. While sixty machines did not respond, such tokens would cause several hundred calls
-// without effect every few seconds.
-func (s *Shard) RequestNewToken(machine *Machine) {
-	hasContactSince := func(start UnknownStart) bool { return machine.Agent.LastContact.After(start.SentAt) }
-	if !machine.Detector.Reachability.LikelyCannotReceive() && slices.ContainsFunc(machine.Commands.Unknown, hasContactSince) {
-		s.RenewToken(RenewalUnknownStart)
-	}
-}
-
 // AddMachine adds a machine to the shard's machines in use.
 func (s *Shard) AddMachine(machine *Machine) {
 	at, _ := slices.BinarySearchFunc(s.Machines, machine.Host, compareHost)
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -161,7 +161,7 @@
 	{"nothing is placed on a machine that cannot report", "coordination/controller/capacities.go", ` && !c.cannotReport(machine, now)`, ``},
 	{"a machine that cannot report for long is returned", "coordination/health/reachability.go", `return CannotReport(lastHeartbeat, actingSince, now.Add(-unreachableLeases*lease), lease)`, `return false`},
 	{"a machine that cannot receive and lost its tasks is returned", "coordination/controller/probes.go", `machine.Detector.Reachability.CannotReceive() && !machine.ShowsToken(shard) && !machine.Lifecycle.Returning`, `false && !machine.Lifecycle.Returning`},
-	{"no new token for a machine that likely cannot receive", "coordination/replica/shard.go", `!machine.Detector.Reachability.LikelyCannotReceive() && `, ``},
+	{"no new token for a machine that likely cannot receive", "coordination/replica/machinetoken.go", `machine.Detector.Reachability.LikelyCannotReceive() || `, ``},
 	{"self-isolation is detected for taken-over shards too", "coordination/health/isolation.go", `	if s.Home {
 		return true
 	}
