Logs say which token is in force, why it rose, and why a command was allowed

Need: the records of the incident could be read only with the workers' side; the controllers' own logs could not tell a late copy of a start from a second decision.

Change: "shard acquired" and "fencing token renewal requested" have the revision of the view and the reason; "shard commands" every 10 s for each owned shard has its token, the revision, the highest token of a machine and what was sent; at level debug "command decided" has the reason of each start, stop and reap, "commands sent" and "commands answered" have token, session and revision.

--- a/internal/coordination/controller/agents.go
+++ b/internal/coordination/controller/agents.go
@@ -243,6 +243,10 @@
 		answer.Commands = append(answer.Commands, c.cleanupCommands(shard, machine)...)
 	}
 	answer.FencingToken = machine.CommandToken(shard)
+	if len(answer.Commands) > 0 {
+		shard.Counts.Add(answer.Commands)
+		c.log.Debug("commands answered", "host", machine.Host, "token", answer.FencingToken, "agent_epoch", heartbeat.AgentEpoch, "sequence", heartbeat.Sequence, "revision", c.view.Revision, "commands", answer.Commands)
+	}
 	body, err := protocol.Encode(answer)
 	if err != nil {
 		return unavailable(heartbeatRetrySeconds)
@@ -266,12 +270,17 @@
 		switch {
 		case placement != nil && placement.Attempt == status.Attempt:
 			if command, needed := c.cleanupPlaced(shard, machine, claim, placement, status, now); needed {
+				c.logDecision(machine, command, "placement ends")
 				commands = append(commands, command)
 			}
 		case status.Phase != protocol.TaskExited:
-			commands = append(commands, protocol.StopCommand(status.Task, status.Attempt, 0))
+			command := protocol.StopCommand(status.Task, status.Attempt, 0)
+			c.logDecision(machine, command, "not placed there")
+			commands = append(commands, command)
 		case c.view.MayReap(shard, machine, status.Task, status.Attempt):
-			commands = append(commands, protocol.ReapCommand(status.Task, status.Attempt))
+			command := protocol.ReapCommand(status.Task, status.Attempt)
+			c.logDecision(machine, command, "end recorded")
+			commands = append(commands, command)
 		}
 	}
 	return commands
--- a/internal/coordination/controller/commands.go
+++ b/internal/coordination/controller/commands.go
@@ -58,7 +58,8 @@
 	}
 	machine.Commands.RecordStarts(&request)
 	address, ctx := machine.Address(), c.ctx
-	c.log.Debug("commands sent", "host", machine.Host, "token", request.FencingToken, "commands", request.Commands)
+	shard.Counts.Add(request.Commands)
+	c.log.Debug("commands sent", "host", machine.Host, "token", request.FencingToken, "agent_epoch", request.AgentEpoch, "revision", c.view.Revision, "commands", request.Commands)
 	go func() {
 		var heartbeat protocol.Heartbeat
 		status, err := c.callCommands(ctx, address, request, &heartbeat)
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -36,28 +36,29 @@
 	cloudLimiter    *rate.Limiter
 	waitWhilePaused func(context.Context)
 
-	mu              sync.Mutex
-	ctx             context.Context // passed to Run; ends with the process
-	view            *replica.View
-	membership      membership
-	stateReports    stateReports
-	leadership      leadership
-	shardLoads      shardLoads
-	preemptions     preemptions
-	provisioner     provisioner
-	dependencies    dependencies
-	demandBroadcast demandBroadcast
-	pauses          health.PauseDetector
-	partitionSeenAt map[string]time.Time // by zone: when the zone last seemed partitioned
-	runtimeRatios   map[string]float64   // by job class: observed run time over the estimate
-	pendingReplies  []pendingReply
-	pendingCommands map[*replica.Machine]struct{} // machines with commands to send
-	claimIntents    []string                      // keys of new claims not yet announced to the other controllers
-	nextRepeated    string                        // the cancelled job with which the next message's repeated cancellations begin
-	readingOrphans  bool                          // a goroutine is reading the jobs of orphaned claims
-	refreshCount    int                           // refreshes of keys started so far; the count numbers each new refresh
-	gangsSearchedAt time.Time                     // when capacity for gangs was last searched for
-	scratch         capacityScratch
+	mu               sync.Mutex
+	ctx              context.Context // passed to Run; ends with the process
+	view             *replica.View
+	membership       membership
+	stateReports     stateReports
+	leadership       leadership
+	shardLoads       shardLoads
+	preemptions      preemptions
+	provisioner      provisioner
+	dependencies     dependencies
+	demandBroadcast  demandBroadcast
+	pauses           health.PauseDetector
+	partitionSeenAt  map[string]time.Time // by zone: when the zone last seemed partitioned
+	runtimeRatios    map[string]float64   // by job class: observed run time over the estimate
+	pendingReplies   []pendingReply
+	pendingCommands  map[*replica.Machine]struct{} // machines with commands to send
+	commandsLoggedAt time.Time                     // when the commands of the shards were last logged
+	claimIntents     []string                      // keys of new claims not yet announced to the other controllers
+	nextRepeated     string                        // the cancelled job with which the next message's repeated cancellations begin
+	readingOrphans   bool                          // a goroutine is reading the jobs of orphaned claims
+	refreshCount     int                           // refreshes of keys started so far; the count numbers each new refresh
+	gangsSearchedAt  time.Time                     // when capacity for gangs was last searched for
+	scratch          capacityScratch
 }
 
 // membership holds this process's lease and what the other controllers report in messages,
--- a/internal/coordination/controller/reconcile.go
+++ b/internal/coordination/controller/reconcile.go
@@ -286,10 +286,24 @@
 	mayInterrupt := task.status.Phase != protocol.TaskCheckpointing || grace == 0
 	if now.Sub(commands.StopSentAt[task.name]) > resendInterval && mayInterrupt {
 		commands.StopSentAt[task.name] = now
-		c.queueCommands(task.shard, task.machine, protocol.StopCommand(task.name, task.placement.Attempt, grace))
+		command := protocol.StopCommand(task.name, task.placement.Attempt, grace)
+		c.logDecision(task.machine, command, c.stopReason(task))
+		c.queueCommands(task.shard, task.machine, command)
 	}
 }
 
+// stopReason returns why a placed task must stop, as the log spells it.
+func (c *Controller) stopReason(task *placedTask) string {
+	job := c.view.Jobs[task.claim.JobID]
+	switch {
+	case job != nil && job.Record != nil && job.Record.IsFinal():
+		return "job " + job.Record.State
+	case task.claim.Halted():
+		return "gang attempt ended"
+	}
+	return "evicted"
+}
+
 // sendStart queues a start command for a task that is placed but not on its machine, because it
 // was never started or was lost when the agent epoch ended. The same attempt may start again,
 // since it can run nowhere else. Nothing is started while this controller has contact neither
@@ -299,7 +313,9 @@
 	commands := &task.machine.Commands
 	if !c.hasNoContact(now) && !task.hasQueuedStart() && now.Sub(commands.StartSentAt[task.name]) > resendInterval && task.machine.Record.State == records.MachineInUse {
 		commands.StartSentAt[task.name] = now
-		c.queueCommands(task.shard, task.machine, protocol.StartCommand(task.name, task.placement.Attempt))
+		command := protocol.StartCommand(task.name, task.placement.Attempt)
+		c.logDecision(task.machine, command, "placed and not shown")
+		c.queueCommands(task.shard, task.machine, command)
 	}
 }
 
--- a/internal/coordination/controller/shards.go
+++ b/internal/coordination/controller/shards.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -32,6 +33,14 @@
 	arrivalFenceDelays = 3
 )
 
+// Reasons of an acquisition other than the renewal of a token, as the log spells them.
+const (
+	acquiredAnew       = "process started"
+	acquiredUnowned    = "no owner recorded"
+	acquiredInTakeover = "takeover"
+	acquiredFromPeer   = "handed over"
+)
+
 // ownedCompare returns the condition that this process still owns a shard.
 func ownedCompare(shard *replica.Shard) kv.Compare {
 	return kv.Compare{Key: records.ShardPrefix + shard.Name, Version: shard.FencingToken}
@@ -91,7 +100,8 @@
 	}
 	shard.FencingToken, shard.Renewal = token, ""
 	c.view.MarkAllDirty(shard)
-	c.log.Info("shard acquired", "shard", shard.Name, "token", token)
+	c.log.Info("shard acquired", "shard", shard.Name, "token", token, "revision", c.view.Revision, "reason", cmp.Or(shard.AcquiredFor, acquiredFromPeer))
+	shard.AcquiredFor = ""
 	c.publishToken(shard)
 }
 
@@ -145,6 +155,7 @@
 					c.reconcileShard(shard, now)
 				}
 			}
+			c.logShardCommands(now)
 			c.campaign()
 			c.reconcileLimits()
 			c.reconcileDependencies(now)
@@ -176,6 +187,7 @@
 	_, homeLive := c.view.Nodes[shard.Name]
 	homeOverdue := !homeLive && now.Sub(self.Since) > unownedGraceLeases*c.policy.NodeLease
 	if shard.Name == c.settings.NodeName || homeOverdue {
+		shard.AcquiredFor = acquiredUnowned
 		c.writeShard(shard, c.settings.NodeName, nil)
 	}
 }
@@ -186,10 +198,12 @@
 func (c *Controller) reconcileOwnedShard(shard *replica.Shard, now time.Time) {
 	switch {
 	case shard.FencingToken == 0:
+		shard.AcquiredFor = acquiredAnew
 		c.writeShard(shard, c.settings.NodeName, nil)
 	case shard.Renewal != "" && now.Sub(shard.TokenRaisedAt) > tokenRaiseInterval:
 		shard.TokenRaisedAt = now
 		c.log.Info("fencing token renewal requested", "shard", shard.Name, "token", shard.FencingToken, "revision", c.view.Revision, "reason", shard.Renewal)
+		shard.AcquiredFor = string(shard.Renewal)
 		c.writeShard(shard, c.settings.NodeName, nil)
 	case c.shouldHandBack(shard, now):
 		c.log.Info("shard handed back", "shard", shard.Name)
@@ -234,6 +248,7 @@
 		}
 	}
 	c.log.Info("shard takeover started", "shard", shard.Name, "node", shard.Record.Owner)
+	shard.AcquiredFor = acquiredInTakeover
 	c.writeShard(shard, c.settings.NodeName, []kv.Compare{{Key: records.NodePrefix + shard.Record.Owner, Version: 0}})
 }
 
--- a/internal/coordination/replica/commandqueue.go
+++ b/internal/coordination/replica/commandqueue.go
@@ -19,6 +19,26 @@
 	StopSentAt  map[string]time.Time // by task: when a stop was last sent
 }
 
+// CommandCounts counts what was sent to the machines of a shard.
+type CommandCounts struct {
+	Starts, Stops, Reaps int
+	TokenRaises          int // number of times that the token of one of the machines was raised
+}
+
+// Add counts commands that are sent.
+func (c *CommandCounts) Add(commands []protocol.Command) {
+	for _, command := range commands {
+		switch command.Verb {
+		case protocol.VerbStart:
+			c.Starts++
+		case protocol.VerbStop:
+			c.Stops++
+		case protocol.VerbReap:
+			c.Reaps++
+		}
+	}
+}
+
 // UnknownStart is a start sent directly whose outcome is unknown. The network or a hanging
 // machine may delay the command for minutes, and the agent still executes it if fencing token
 // and agent epoch match. Until the machine shows a higher token or a later epoch, the attempt
@@ -35,8 +55,8 @@
 // HasUnconfirmedStart reports whether a start of a task's attempt may still be executed for the
 // first time.
 func (m *Machine) HasUnconfirmedStart(task string, attempt uint64) bool {
-	isSameStart := func(start UnknownStart) bool { return start.Task == task && start.Attempt == attempt }
-	return m.HasQueuedStart(task, attempt) || slices.ContainsFunc(m.Commands.Unknown, isSameStart)
+	return m.HasQueuedStart(task, attempt) ||
+		slices.ContainsFunc(m.Commands.Unknown, func(start UnknownStart) bool { return start.Task == task && start.Attempt == attempt })
 }
 
 // HasQueuedStart reports whether a start of a task's attempt is queued or being sent.
--- a/internal/coordination/replica/machinetoken.go
+++ b/internal/coordination/replica/machinetoken.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	machine.Commands.Token = above + 1
-	shard.TokenRaises++
+	shard.Counts.TokenRaises++
 	return true
 }
 
--- a/internal/coordination/replica/machinetoken_test.go
+++ b/internal/coordination/replica/machinetoken_test.go
@@ -44,8 +44,8 @@
 			t.Errorf("%s may not be reaped", task)
 		}
 	}
-	if got := machine.CommandToken(shard); got != 11 || shard.TokenRaises != 1 {
-		t.Errorf("token %d after %d raises, want 11 after one", got, shard.TokenRaises)
+	if got := machine.CommandToken(shard); got != 11 || shard.Counts.TokenRaises != 1 {
+		t.Errorf("token %d after %d raises, want 11 after one", got, shard.Counts.TokenRaises)
 	}
 }
 
--- a/internal/coordination/replica/shard.go
+++ b/internal/coordination/replica/shard.go
@@ -43,8 +43,9 @@
 	// present one; empty: none is needed.
 	Renewal        RenewalReason
 	TokenRaisedAt  time.Time
-	TokenRaises    int       // number of times that the token of one of the shard's machines was raised
-	OwnerlessSince time.Time // since when this process observes that the owner's lease has expired; zero: the lease has not expired
+	AcquiredFor    string        // why this process last tried to acquire the shard, as the log spells it
+	Counts         CommandCounts // since they were last logged
+	OwnerlessSince time.Time     // since when this process observes that the owner's lease has expired; zero: the lease has not expired
 	// NewOwner is a controller that reported its ownership of the shard before the shard's
 	// record arrived here, and NewOwnerToken is its fencing token. Empty: none.
 	NewOwner      string
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -52,6 +52,10 @@
 	grace`},
 	{"a heartbeat counts only under the current fencing token", "coordination/replica/machine.go", `return m.Agent.Heartbeat != nil && shard.FencingToken != 0 && m.Agent.Heartbeat.FencingToken >= shard.FencingToken`, `return m.Agent.Heartbeat != nil && shard.FencingToken != 0`},
 	{"a start of unknown outcome counts as unconfirmed", "coordination/replica/commandqueue.go", `slices.ContainsFunc(m.Commands.Unknown, func(start UnknownStart) bool { return start.Task == task && start.Attempt == attempt })`, `false`},
+	{"an attempt is reaped under a token above that of its start", "coordination/replica/machinetoken.go", `	if sent < machine.CommandToken(shard) {`, `	if true || sent < machine.CommandToken(shard) {`},
+	{"a machine's token stays at or below the revision of the view", "coordination/replica/machinetoken.go", `	if v.OwnedRevision(shard) <= above {`, `	if false {`},
+	{"the first answer after a restart voids all earlier starts", "coordination/controller/agents.go", `		c.view.RaiseToken(shard, machine, machine.Commands.HighestStartToken())
+`, ``},
 	{"a machine that keeps a cancelled task is fenced", "coordination/controller/probes.go", `		c.enforceCancellations(now)
 `, ``},
 	{"an overdue cancelled task's machine is returned without a record", "coordination/controller/cancellations.go", `return cancelled.ShouldReturnUnrecorded(limit, c.isStateDown(now)) && machine.Record.State == records.MachineInUse && !c.isRefusedAlone(now)`, `return false`},
