--- a/internal/coordination/controller/heartbeats_test.go
+++ b/internal/coordination/controller/heartbeats_test.go
@@ -125,3 +125,35 @@
 		}
 	})
 }
+
+// TestLeaseIsExtendedUnderRaisedToken guards against answers in a partition that a worker drops since its token was raised.
+func TestLeaseIsExtendedUnderRaisedToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := newFleet(t, 30)
+		controller.mu.Lock()
+		defer controller.mu.Unlock()
+		controller.store = unavailableStore{}
+		shard := controller.view.Shards["n1"]
+		heartbeat := heartbeatOf(shard.Machines[0], 88)
+		for _, test := range []struct {
+			name          string
+			shown, answer uint64
+			extended      bool
+		}{
+			{"the recorded token", shard.Version, shard.Version, true},
+			{"an earlier one", shard.Version - 1, shard.Version, true},
+			{"one that the recorded owner has raised", shard.Version + 7, shard.Version + 7, true},
+			{"one of a later owner", controller.view.Revision + 1, 0, false},
+		} {
+			heartbeat.FencingToken = test.shown
+			response, extended := controller.extendLease(shard, heartbeat, time.Now())
+			var answer protocol.HeartbeatResponse
+			if extended && json.Unmarshal(response.Body, &answer) != nil {
+				t.Fatal(test.name)
+			}
+			if extended != test.extended || answer.FencingToken != test.answer {
+				t.Errorf("%s: token %d, extended %v", test.name, answer.FencingToken, extended)
+			}
+		}
+	})
+}
--- a/internal/simtest/expectations.go
+++ b/internal/simtest/expectations.go
@@ -16,6 +16,7 @@
 	"busy":     (*cluster).expectBusy,
 	"happened": (*cluster).expectHappened,
 	"large":    (*cluster).expectLarge,
+	"listed":   (*cluster).expectListed,
 	"oversize": (*cluster).expectOversize,
 	"ready":    (*cluster).expectReady,
 	"repeated": (*cluster).expectStartsByCopies,
@@ -117,6 +118,14 @@
 	return nil
 }
 
+// expectListed checks "listed MOST": no heartbeat has listed more than MOST tasks so far.
+func (c *cluster) expectListed(f command) error {
+	if got := c.world.LongestHeartbeat(); got > f.number(1) {
+		return fmt.Errorf("a heartbeat listed %d tasks", got)
+	}
+	return nil
+}
+
 // expectStartsByCopies checks "repeated MOST": late copies of direct calls have started at most
 // MOST tasks.
 func (c *cluster) expectStartsByCopies(f command) error {
