Clean-up: one wait that ends with a context; a set-up of tests; a file's name

Need: the wait stood three times (controller, client of the state service, load test); six tests repeated the same set-up; misplaced_tasks.go had kept a name of the house style.

Change: package timing; inFleet in the controller's tests; foreigncancelledtasks.go; the new figures are left out if 0. Behaviour is the same.

--- a/internal/coordination/controller/commit.go
+++ b/internal/coordination/controller/commit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"madderslip/internal/storage/kv"
+	"madderslip/internal/timing"
 )
 
 // commit submits a transaction. done runs with the lock held, after the view holds the
@@ -96,7 +97,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(processCtx, refreshTimeout)
 	defer cancel()
-	pause(ctx, time.Duration(number%refreshStartSlots+1)*time.Nanosecond)
+	timing.Sleep(ctx, time.Duration(number%refreshStartSlots+1)*time.Nanosecond)
 	read := true
 	for _, key := range keys {
 		item, err := c.store.Get(ctx, key)
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -15,6 +15,7 @@
 	"madderslip/internal/policy"
 	"madderslip/internal/protocol"
 	"madderslip/internal/storage/kv"
+	"madderslip/internal/timing"
 )
 
 // tolerance bounds the rounding error between sums of resources that should be equal.
@@ -164,7 +165,7 @@
 	var wg sync.WaitGroup
 	for i, loop := range loops {
 		wg.Go(func() {
-			if pause(ctx, time.Duration(i)*loopStagger) {
+			if timing.Sleep(ctx, time.Duration(i)*loopStagger) {
 				loop(ctx)
 			}
 		})
@@ -183,21 +184,9 @@
 // pause waits between two iterations of a loop, also for as long as the controller is paused,
 // and reports whether the loop should continue.
 func (c *Controller) pause(ctx context.Context, d time.Duration) bool {
-	if !pause(ctx, d) {
+	if !timing.Sleep(ctx, d) {
 		return false
 	}
 	c.waitWhilePaused(ctx)
 	return ctx.Err() == nil
 }
-
-// pause waits for the duration d. It returns false if the context ends first, else true.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/coordination/controller/heartbeats_test.go
+++ b/internal/coordination/controller/heartbeats_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"reflect"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"madderslip/internal/protocol"
@@ -14,10 +13,7 @@
 // answered without commands, which would be based on the tasks of the wrong incarnation. The
 // machine is probed instead.
 func TestHeartbeatOfUnclearIncarnationGetsNoCommands(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		controller := newFleet(t, 30)
-		controller.mu.Lock()
-		defer controller.mu.Unlock()
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		controller.httpClient = unreachableHTTP{}
 		machine := controller.view.Shards["n0"].Machines[0]
 		controller.respondToHeartbeat(heartbeatOf(machine, 88))
@@ -48,10 +44,7 @@
 // arrives. Such a machine must not count as unable to report at once, but must if it keeps
 // answering probes without sending heartbeats.
 func TestRestoredMachineHasTimeToReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		controller := newFleet(t, 30)
-		controller.mu.Lock()
-		defer controller.mu.Unlock()
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		controller.settings.Workers.LeaseDuration = 12 * time.Second
 		machine := controller.view.Shards["n0"].Machines[0]
 		controller.respondToHeartbeat(heartbeatOf(machine, 88))
@@ -81,10 +74,7 @@
 
 // TestFirstAnswerAfterRestartRefusesEarlierStarts guards against copies of starts that an agent accepts since it restarted.
 func TestFirstAnswerAfterRestartRefusesEarlierStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		controller := newFleet(t, 30)
-		controller.mu.Lock()
-		defer controller.mu.Unlock()
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		controller.httpClient = unreachableHTTP{}
 		shard := controller.view.Shards["n0"]
 		machine := shard.Machines[0]
@@ -106,10 +96,7 @@
 
 // TestRestartStopsTasksThatAreNotPlaced guards against attempts that a late copy began and that run on until the next heartbeat.
 func TestRestartStopsTasksThatAreNotPlaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		controller := newFleet(t, 30)
-		controller.mu.Lock()
-		defer controller.mu.Unlock()
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		shard := controller.view.Shards["n0"]
 		machine := shard.Machines[0]
 		controller.respondToHeartbeat(heartbeatOf(machine, 88))
@@ -128,10 +115,7 @@
 
 // TestLeaseIsExtendedUnderRaisedToken guards against answers in a partition that a worker drops since its token was raised.
 func TestLeaseIsExtendedUnderRaisedToken(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		controller := newFleet(t, 30)
-		controller.mu.Lock()
-		defer controller.mu.Unlock()
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		controller.store = unavailableStore{}
 		shard := controller.view.Shards["n1"]
 		heartbeat := heartbeatOf(shard.Machines[0], 88)
--- a/internal/coordination/controller/helpers_test.go
+++ b/internal/coordination/controller/helpers_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"madderslip/internal/coordination/replica"
@@ -140,6 +141,18 @@
 	return controller
 }
 
+// inFleet runs a test with the controller of newFleet, whose lock is held, in a bubble with a fake
+// clock.
+func inFleet(t *testing.T, machines int, test func(t *testing.T, controller *Controller)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		controller := newFleet(t, machines)
+		controller.mu.Lock()
+		defer controller.mu.Unlock()
+		test(t, controller)
+	})
+}
+
 // addFullMachines adds machines, ten at a time to each of the three shards in turn, and the
 // claims that fill them.
 func addFullMachines(controller *Controller, machines int) {
--- a/internal/coordination/controller/provisions.go
+++ b/internal/coordination/controller/provisions.go
@@ -14,6 +14,7 @@
 	"madderslip/internal/protocol"
 	"madderslip/internal/storage/kv"
 	"madderslip/internal/storage/records"
+	"madderslip/internal/timing"
 )
 
 const (
@@ -83,7 +84,7 @@
 // callProvision sends a provision request to the cloud once the rate limiter's reservation
 // permits.
 func (c *Controller) callProvision(ctx context.Context, request protocol.ProvisionRequest, reservation *rate.Reservation) (answer protocol.HostList, status int, err error) {
-	if delay := reservation.Delay(); delay > 0 && !pause(ctx, delay) {
+	if delay := reservation.Delay(); delay > 0 && !timing.Sleep(ctx, delay) {
 		reservation.Cancel()
 		return answer, 0, ctx.Err()
 	}
--- a/internal/coordination/controller/provisions_test.go
+++ b/internal/coordination/controller/provisions_test.go
@@ -13,10 +13,7 @@
 // owner that has had the shard since before they were provisioned. A later owner reports none:
 // the machines may have sent heartbeats to an earlier owner.
 func TestOverdueMachinesAreExcludedFromLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		controller := newFleet(t, 30)
-		controller.mu.Lock()
-		defer controller.mu.Unlock()
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		shard := controller.view.Shards["n0"]
 		provision := &records.Provision{
 			ProvisionRequest: protocol.ProvisionRequest{Type: "m16", Zone: "a", Count: 8},
--- a/internal/loadtest/fault.go
+++ b/internal/loadtest/fault.go
@@ -6,19 +6,20 @@
 	"os"
 
 	"madderslip/internal/protocol"
+	"madderslip/internal/timing"
 )
 
 // runFault waits until a fault is due and injects it. After the fault's duration (ForS) it
 // starts a crashed controller again or ends the delays of the state service.
 func (m *measurement) runFault(ctx context.Context, fault Fault) {
-	if !pause(ctx, protocol.Seconds(fault.AtS)) {
+	if !timing.Sleep(ctx, protocol.Seconds(fault.AtS)) {
 		return
 	}
 	fmt.Fprintf(m.progress, "trouble: %s\n", fault.Kind)
 	switch fault.Kind {
 	case faultSlow:
 		m.world.SetFault("slow", true)
-		pause(ctx, protocol.Seconds(fault.ForS))
+		timing.Sleep(ctx, protocol.Seconds(fault.ForS))
 		m.world.SetFault("slow", false)
 	case faultCopies:
 		m.world.SetFault("repeated commands", true)
@@ -39,7 +40,7 @@
 	target := m.controllers[m.random.IntN(len(m.controllers))]
 	m.mu.Unlock()
 	target.kill()
-	if !pause(ctx, protocol.Seconds(fault.ForS)) {
+	if !timing.Sleep(ctx, protocol.Seconds(fault.ForS)) {
 		return
 	}
 	if err := target.start(ctx, m.cfg.Program); err != nil {
--- a/internal/loadtest/load.go
+++ b/internal/loadtest/load.go
@@ -8,6 +8,7 @@
 
 	"madderslip/internal/emulator"
 	"madderslip/internal/protocol"
+	"madderslip/internal/timing"
 )
 
 // Classes of the jobs.
@@ -25,7 +26,7 @@
 			return
 		}
 		interval := time.Duration(float64(time.Second) / rate)
-		for next := time.Now(); pause(ctx, time.Until(next)); next = next.Add(interval) {
+		for next := time.Now(); timing.Sleep(ctx, time.Until(next)); next = next.Add(interval) {
 			m.submit(ctx, inFlight, newJob(), urgent)
 		}
 	}
@@ -64,7 +65,7 @@
 		return
 	}
 	m.accepted.Add(1)
-	if urgent && pause(ctx, protocol.Seconds(m.cfg.Load.RunS)) {
+	if urgent && timing.Sleep(ctx, protocol.Seconds(m.cfg.Load.RunS)) {
 		m.world.RequestUntilAnswered(node, func(node string) int { return m.world.Cancel(node, job.Spec.JobID) })
 	}
 }
--- a/internal/loadtest/measurement.go
+++ b/internal/loadtest/measurement.go
@@ -13,6 +13,7 @@
 
 	"madderslip/internal/emulator"
 	"madderslip/internal/protocol"
+	"madderslip/internal/timing"
 )
 
 // Intervals within a measurement.
@@ -152,13 +153,13 @@
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return fmt.Errorf("controller %s is not ready within %g s, see %s", c.name, m.cfg.WarmupS, c.settingsFile)
 			}
-			pause(ctx, readyPollInterval)
+			timing.Sleep(ctx, readyPollInterval)
 		}
 	}
 	for remaining := m.cfg.Workers; remaining > 0 && ctx.Err() == nil; remaining -= workerBatchSize {
 		zone := zones[remaining/workerBatchSize%len(zones)]
 		m.world.AddMachinesOfType(min(remaining, workerBatchSize), machineTypeName, zone, false)
-		pause(ctx, workerBatchPause)
+		timing.Sleep(ctx, workerBatchPause)
 	}
 	m.startLoad(ctx)
 	m.background.Go(func() { m.dropFinishedJobs(ctx) })
@@ -184,7 +185,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		fmt.Fprintf(m.progress, "%s: %d tasks begun, %d running, %d changes of state, %d of %d jobs accepted\n",
 			phase, m.starts.Load(), m.world.RunningTasks(), m.world.State.Counts().Changes, m.accepted.Load(), m.submitted.Load())
-		pause(ctx, min(interval, time.Until(end)))
+		timing.Sleep(ctx, min(interval, time.Until(end)))
 	}
 	return ctx.Err()
 }
@@ -203,20 +204,7 @@
 
 // dropFinishedJobs drops finished jobs periodically to bound the world's memory.
 func (m *measurement) dropFinishedJobs(ctx context.Context) {
-	for pause(ctx, dropInterval) {
+	for timing.Sleep(ctx, dropInterval) {
 		m.world.DropFinishedJobs()
 	}
 }
-
-// pause waits for the duration d. It reports whether d has passed: if the context ends
-// first, pause returns false at once.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/loadtest/result.go
+++ b/internal/loadtest/result.go
@@ -33,8 +33,8 @@
 	Urgent, UrgentBegun  int       // number of urgent jobs, and of those that started; warm-up included
 	Submitted, Accepted  int64     // number of jobs
 	NotReached           []string  // configured amounts that were not reached, a line each
-	LongestReport        int       // largest number of tasks in a heartbeat; warm-up included
-	StartsByCopies       int       // tasks that late copies of direct calls have started; warm-up included
+	LongestReport        int       `json:",omitempty"` // largest number of tasks in a heartbeat; warm-up included
+	StartsByCopies       int       `json:",omitempty"` // tasks that late copies of direct calls have started; warm-up included
 }
 
 // WriteJSON writes the result as indented JSON.
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -70,8 +70,8 @@
 	{"a committed record is sent with its revision", "coordination/controller/keyupdates.go", `newKeyUpdate(key, record, revision)`, `newKeyUpdate(key, record, max(revision, c.view.Versions[key]))`},
 	{"a refused page does not end a list", "storage/kv/list.go", `c.readPage(ctx, from, !first)`, `c.readPage(ctx, from, false)`},
 	{"controllers other than the owner stop cancelled tasks", "coordination/controller/probes.go", `c.stopCancelledTasks(machine, heartbeat)`, `_ = machine`},
-	{"machines with misplaced cancelled tasks are probed repeatedly", "coordination/health/misplaced_tasks.go", `t.SinceProbe >= interval`, `t.SinceProbe > 1000*interval`},
-	{"probing continues after a misplaced cancelled task has ended", "coordination/health/misplaced_tasks.go", `if t.Finding == Ended || t.Age > limit {`, `if t.Finding == Ended {
+	{"machines with misplaced cancelled tasks are probed repeatedly", "coordination/health/foreigncancelledtasks.go", `t.SinceProbe >= interval`, `t.SinceProbe > 1000*interval`},
+	{"probing continues after a misplaced cancelled task has ended", "coordination/health/foreigncancelledtasks.go", `if t.Finding == Ended || t.Age > limit {`, `if t.Finding == Ended {
 		return false
 	}
 	if t.Age > limit {`},
--- a/internal/storage/kv/list.go
+++ b/internal/storage/kv/list.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"madderslip/internal/protocol"
+	"madderslip/internal/timing"
 )
 
 const (
@@ -62,7 +63,7 @@
 		if status == http.StatusTooManyRequests {
 			pause = pageRefusedPause
 		}
-		if !sleep(ctx, pause) {
+		if !timing.Sleep(ctx, pause) {
 			return page, err
 		}
 	}
--- a/internal/storage/kv/list_test.go
+++ b/internal/storage/kv/list_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"madderslip/internal/protocol"
+	"madderslip/internal/timing"
 )
 
 // pagedService is a state service with keys in numbered pages of one item each, which answers at
@@ -94,7 +95,7 @@
 						}
 						return
 					}
-					sleep(ctx, 500*time.Millisecond)
+					timing.Sleep(ctx, 500*time.Millisecond)
 				}
 				t.Errorf("client %d has not read all keys within %v", i, within)
 			})
--- a/internal/storage/kv/outcome.go
+++ b/internal/storage/kv/outcome.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"madderslip/internal/timing"
 )
 
 // Delays before a transaction is sent again: after no answer, after a refusal for the
@@ -97,7 +99,7 @@
 		return
 	}
 	if delay > 0 {
-		sleep(ctx, delay+retryOffset(batch))
+		timing.Sleep(ctx, delay+retryOffset(batch))
 	}
 	if c.queue.add(retry...) {
 		return
--- a/internal/storage/kv/send.go
+++ b/internal/storage/kv/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"madderslip/internal/protocol"
+	"madderslip/internal/timing"
 )
 
 // txnTimeout is the timeout of a batch's request. The odd nanoseconds keep it from firing at
@@ -65,7 +66,7 @@
 	case <-ctx.Done():
 		return false
 	case <-c.queue.wakeup:
-		return sleep(ctx, batchDelay)
+		return timing.Sleep(ctx, batchDelay)
 	case <-timer.C:
 		return true
 	}
@@ -93,18 +94,6 @@
 	c.queue.wake()
 }
 
-// sleep waits for d and reports whether it did so before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // PendingCount returns the number of queued transactions of a priority.
 func (c *Client) PendingCount(priority Priority) int {
 	return c.queue.count(func(t *Txn) bool { return t.Priority == priority })
