A machine that lists 600 tasks gets no more

Need: the list of tasks in a heartbeat is to stay bounded by a stated number. It grows while ends of tasks wait to be recorded and new claims do not wait; a heartbeat may have 64 KiB, some 900 entries, and a larger one would be refused.

Change: no task is placed on a machine whose heartbeat lists 600 tasks.

--- a/internal/coordination/controller/capacities.go
+++ b/internal/coordination/controller/capacities.go
@@ -78,9 +78,18 @@
 
 // acceptsTasks reports whether new tasks may be placed on a machine.
 func (c *Controller) acceptsTasks(machine *replica.Machine, now time.Time) bool {
-	return machine.Agent.Heartbeat != nil && machine.Address() != "" && !isLeaving(machine) && !hasUnclearState(machine, now) && c.isReachable(machine, now)
+	isKnown := machine.Agent.Heartbeat != nil && machine.Address() != ""
+	return isKnown && !isLeaving(machine) && !hasUnclearState(machine, now) && !isListFull(machine) && c.isReachable(machine, now)
 }
 
+// maxListedTasks is the number of listed tasks from which a machine gets no more. An entry of a
+// heartbeat takes some 70 bytes, and a heartbeat may have 64 KiB.
+const maxListedTasks = 600
+
+// isListFull reports whether a machine's heartbeat lists so many tasks, most of them exited and not
+// reaped yet, that further ones could make it too large.
+func isListFull(machine *replica.Machine) bool { return len(machine.Agent.Tasks) >= maxListedTasks }
+
 // isLeaving reports whether a machine is gone, being drained or returned, or about to be
 // preempted by the cloud.
 func isLeaving(machine *replica.Machine) bool {
--- a/internal/coordination/controller/heartbeats_test.go
+++ b/internal/coordination/controller/heartbeats_test.go
@@ -141,3 +141,26 @@
 		}
 	})
 }
+
+// TestNoTaskIsPlacedWhereListIsFull guards against heartbeats that outgrow the protocol's limit while ends wait to be recorded.
+func TestNoTaskIsPlacedWhereListIsFull(t *testing.T) {
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
+		machine := controller.view.Shards["n0"].Machines[0]
+		heartbeat := heartbeatOf(machine, 88)
+		for task := range maxListedTasks - len(heartbeat.Tasks) {
+			heartbeat.Tasks = append(heartbeat.Tasks, protocol.TaskStatus{Task: protocol.TaskName("wk-77", task), Attempt: 1, Phase: protocol.TaskExited, Cause: protocol.CauseDone})
+		}
+		last := len(heartbeat.Tasks) - 1
+		shorter := *heartbeat
+		shorter.Tasks = heartbeat.Tasks[:last]
+		controller.respondToHeartbeat(&shorter)
+		if !controller.acceptsTasks(machine, time.Now()) {
+			t.Errorf("%d listed tasks fill the list", last)
+		}
+		heartbeat.Sequence++
+		controller.respondToHeartbeat(heartbeat)
+		if controller.acceptsTasks(machine, time.Now()) {
+			t.Errorf("tasks may be placed beside %d listed ones", len(heartbeat.Tasks))
+		}
+	})
+}
