--- a/internal/coordination/controller/agents.go
+++ b/internal/coordination/controller/agents.go
@@ -270,7 +270,7 @@
 		switch {
 		case placement != nil && placement.Attempt == status.Attempt:
 			if command, needed := c.cleanupPlaced(shard, machine, claim, placement, status, now); needed {
-				c.logDecision(machine, command, "placement ends")
+				c.logDecision(machine, command, placedCleanupReason(command))
 				commands = append(commands, command)
 			}
 		case status.Phase != protocol.TaskExited:
@@ -286,6 +286,14 @@
 	return commands
 }
 
+// placedCleanupReason returns why a placed task gets a cleanup command, as the log spells it.
+func placedCleanupReason(command protocol.Command) string {
+	if command.Verb == protocol.VerbReap {
+		return "gang task starts again"
+	}
+	return "placement ends"
+}
+
 // cleanupPlaced returns the cleanup command for a task that is placed on its machine, and reports
 // whether the task needs one: a stop, or a reap for a task of a gang that waited too long for the
 // others and exited, so that it can start again.
--- a/internal/coordination/controller/leases.go
+++ b/internal/coordination/controller/leases.go
@@ -14,8 +14,9 @@
 // extendLease returns the answer that extends the lease of an agent whose shard this controller
 // does not own, and reports whether the lease may be extended. The answer carries no commands, and
 // the shard's recorded token or the one that the agent shows, if the recorded owner has raised it
-// since: a later owner's token would be above the revision that the view has reached. The lease of an agent that shows a task of a cancelled job may not be
-// extended, because this controller can stop the task only by letting the lease expire.
+// since: a later owner's token would be above the revision that the view has reached. The lease of
+// an agent that shows a task of a cancelled job may not be extended, because this controller can
+// stop the task only by letting the lease expire.
 func (c *Controller) extendLease(shard *replica.Shard, heartbeat *protocol.Heartbeat, now time.Time) (transport.Response, bool) {
 	contact := failover.LastContact{State: c.store.LastSuccess(), Owner: c.membership.lastContact[shard.Record.Owner]}
 	if heartbeat.FencingToken > max(shard.Version, c.view.Revision) || !failover.MayExtendLease(contact, now, c.policy.NodeLease) {
--- a/internal/coordination/controller/shards.go
+++ b/internal/coordination/controller/shards.go
@@ -79,7 +79,7 @@
 		if shard.FencingToken != 0 {
 			c.log.Info("shard lost", "shard", name)
 		}
-		shard.FencingToken = 0
+		shard.FencingToken, shard.AcquiredFor = 0, ""
 	case !c.view.Loaded:
 		// Commands that an earlier process of this node sent under this token may still be
 		// in transit, so this process first acquires the shard under a new token.
--- a/internal/coordination/failover/lease_extension.go
+++ b/internal/coordination/failover/lease_extension.go
@@ -10,12 +10,12 @@
 }
 
 // MayExtendLease reports whether a controller that does not own a shard extends the leases
-// of the shard's workers, without commands and with the shard's recorded fencing token or the one
-// to which the recorded owner has raised the token of the worker's machine. The condition is that the controller has had no contact with the state service or the owner
-// for longer than timeout. The controller is then partitioned from both, and so are the
-// workers that send heartbeats to it. Without the extension these workers would be
-// redirected to an owner that they cannot reach, and lose their tasks when their leases
-// expire.
+// of the shard's workers, without commands and with the shard's recorded fencing token, or with
+// the one to which the recorded owner has raised the token of the worker's machine. The condition
+// is that the controller has had no contact with the state service or the owner for longer than
+// timeout. The controller is then partitioned from both, and so are the workers that send
+// heartbeats to it. Without the extension these workers would be redirected to an owner that they
+// cannot reach, and lose their tasks when their leases expire.
 func MayExtendLease(last LastContact, now time.Time, timeout time.Duration) bool {
 	return now.Sub(last.State) > timeout && now.Sub(last.Owner) > timeout
 }
