A token that voids starts of unknown outcome is sent again until the machine shows it

Cause: since the token was sent once. If that call failed, the machine got no new tasks until an answer to a heartbeat had brought the token and a further heartbeat had shown it.

Change: the token is sent again 3 s later, for as long as the machine has been in contact, is likely to receive calls and has not shown it.

TestUnknownStartRaisesTokenOnce checks the pace.

--- a/internal/coordination/controller/commands.go
+++ b/internal/coordination/controller/commands.go
@@ -105,9 +105,9 @@
 }
 
 // voidUnknownStarts raises the token of a machine that has starts of unknown outcome, if it is
-// likely to receive calls, and sends the token at once.
+// likely to receive calls, and sends the token at once, and again while the machine has not shown it.
 func (c *Controller) voidUnknownStarts(shard *replica.Shard, machine *replica.Machine) {
-	if c.view.VoidUnknownStarts(shard, machine) && machine.Address() != "" {
+	if c.view.VoidUnknownStarts(shard, machine, time.Now()) && machine.Address() != "" {
 		c.sendCommands(shard, machine)
 	}
 }
--- a/internal/coordination/replica/commandqueue.go
+++ b/internal/coordination/replica/commandqueue.go
@@ -14,6 +14,7 @@
 	InFlight    []protocol.Command   // the commands of the call in progress
 	Unknown     []UnknownStart       // sent starts of which it is unknown whether the agent executed them
 	Token       uint64               // the machine's own fencing token; 0: its shard's
+	TokenSentAt time.Time            // when the token was last sent to void starts of unknown outcome
 	StartTokens map[string]uint64    // by task: the token of its latest direct start, unless the agent has shown a higher one
 	StartSentAt map[string]time.Time // by task: when a start was last sent
 	StopSentAt  map[string]time.Time // by task: when a stop was last sent
--- a/internal/coordination/replica/machinetoken.go
+++ b/internal/coordination/replica/machinetoken.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"madderslip/internal/protocol"
 )
@@ -72,11 +73,15 @@
 	maps.DeleteFunc(q.StartTokens, func(_ string, token uint64) bool { return token < received })
 }
 
+// tokenResendInterval is the time after which a token that voids starts of unknown outcome is
+// sent again to a machine that has not shown it.
+const tokenResendInterval = 3 * time.Second
+
 // VoidUnknownStarts raises the token of a machine that has starts of unknown outcome, and reports
-// whether it rose: once the machine reports the token, these starts cannot be executed any more.
-// The machine must have been in contact since such a start and must be likely to receive calls:
-// otherwise it could not report the token.
-func (v *View) VoidUnknownStarts(shard *Shard, machine *Machine) bool {
+// whether to send the token now: once the machine reports it, these starts cannot be executed any
+// more. The machine must have been in contact since such a start and must be likely to receive
+// calls: otherwise it could not report the token.
+func (v *View) VoidUnknownStarts(shard *Shard, machine *Machine, now time.Time) bool {
 	hasContactSince := func(start UnknownStart) bool { return machine.Agent.LastContact.After(start.SentAt) }
 	if machine.Detector.Reachability.LikelyCannotReceive() || !slices.ContainsFunc(machine.Commands.Unknown, hasContactSince) {
 		return false
@@ -85,7 +90,12 @@
 	for _, start := range machine.Commands.Unknown {
 		v.RaiseToken(shard, machine, start.FencingToken)
 	}
-	return machine.CommandToken(shard) > before
+	rose := machine.CommandToken(shard) > before
+	if !rose && now.Sub(machine.Commands.TokenSentAt) < tokenResendInterval {
+		return false
+	}
+	machine.Commands.TokenSentAt = now
+	return true
 }
 
 // MayReap reports whether an exited attempt may be reaped in the answer to a heartbeat of its
--- a/internal/coordination/replica/machinetoken_test.go
+++ b/internal/coordination/replica/machinetoken_test.go
@@ -88,9 +88,10 @@
 	if !machine.HasUnconfirmedStart("wk-1/0", 1) || machine.HasUnconfirmedStart("wk-1/0", 2) {
 		t.Error("the start of unknown outcome counts for the wrong attempt")
 	}
-	first, second := view.VoidUnknownStarts(shard, machine), view.VoidUnknownStarts(shard, machine)
-	if !first || second || machine.CommandToken(shard) != 11 {
-		t.Errorf("rose %v, then %v, to %d", first, second, machine.CommandToken(shard))
+	first, second := view.VoidUnknownStarts(shard, machine, now), view.VoidUnknownStarts(shard, machine, now.Add(time.Second))
+	later := view.VoidUnknownStarts(shard, machine, now.Add(tokenResendInterval))
+	if !first || second || !later || machine.CommandToken(shard) != 11 {
+		t.Errorf("sent %v, then %v, later %v, at last %d", first, second, later, machine.CommandToken(shard))
 	}
 }
 
@@ -102,7 +103,7 @@
 	machine.Detector.Reachability.RecordFailure(now.Add(-2*time.Second), now.Add(-4*time.Second))
 	machine.Agent.LastContact = now.Add(-time.Second)
 	machine.Detector.Reachability.RecordFailure(now, machine.Agent.LastContact)
-	if view.VoidUnknownStarts(shard, machine) || machine.CommandToken(shard) != 10 {
+	if view.VoidUnknownStarts(shard, machine, now) || machine.CommandToken(shard) != 10 {
 		t.Errorf("the token rose to %d", machine.CommandToken(shard))
 	}
 }
