--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -35,15 +35,16 @@
 
 // Cluster is the controllers of a case with the stand-ins that they talk to.
 type Cluster struct {
-	Site   Site
-	State  *State
-	Cloud  *Cloud
-	Nodes  []*Node
-	Record *Record
-	judge  *Judge
-	users  caller
-	dir    string
-	stop   chan struct{}
+	Site       Site
+	State      *State
+	Cloud      *Cloud
+	Nodes      []*Node
+	Record     *Record
+	LateCopies bool // copies of executed commands arrive again
+	judge      *Judge
+	users      caller
+	dir        string
+	stop       chan struct{}
 }
 
 // Node is one controller: its addresses, its link to the state service and its process.
@@ -94,6 +95,7 @@
 		if err != nil {
 			return nil, err
 		}
+		record.Add("platform", node.Name, "public address", node.Public)
 		node.settings = filepath.Join(dir, node.Name+".toml")
 		if err := os.WriteFile(node.settings, []byte(c.settingsOf(node, stateAddr)), 0o600); err != nil {
 			return nil, err
--- a/review/standin2/judge.go
+++ b/review/standin2/judge.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// leaseEnded is why the tasks of a worker end whose lease has ended.
+const leaseEnded = "lease ended"
+
 // Job is a job as its user submits it.
 type Job struct {
 	Ref        string   `json:"ref"`
@@ -47,6 +50,8 @@
 	running   map[string]map[*Worker]*task    // by task name
 	began     map[string]int                  // by job: tasks that began
 	gang      map[string]map[string]time.Time // by job and attempt: tasks that are on a machine
+	done      map[string]int                  // by job: tasks that completed
+	lost      map[string]int                  // by job: tasks that were killed as a lease ended
 	broken    []string
 }
 
@@ -55,7 +60,7 @@
 
 func newJudge(record *Record, cancelS float64) *Judge {
 	return &Judge{record: record, cancelS: cancelS, jobs: make(map[string]*Job), cancelled: make(map[string]time.Time),
-		running: make(map[string]map[*Worker]*task), began: make(map[string]int), gang: make(map[string]map[string]time.Time)}
+		running: make(map[string]map[*Worker]*task), began: make(map[string]int), done: make(map[string]int), lost: make(map[string]int), gang: make(map[string]map[string]time.Time)}
 }
 
 // Break records a broken rule.
@@ -101,6 +106,7 @@
 		j.breakLocked("ran_cancelled", fmt.Sprintf("%s begins on %s %.1f s after its user was told", t.name, w.Host, time.Since(at).Seconds()))
 	}
 	j.running[t.name][w] = t
+	j.checkPlace(w, t)
 	j.began[t.job.Ref]++
 	key := fmt.Sprintf("%s#%d", t.job.Ref, t.attempt)
 	if j.gang[key] == nil {
@@ -109,6 +115,34 @@
 	j.gang[key][t.name] = time.Now()
 }
 
+// checkPlace checks the rules on places and limits for a task that has just begun.
+func (j *Judge) checkPlace(w *Worker, t *task) {
+	inZone, others, cpus := 0, 0, 0.0
+	for name, on := range j.running {
+		for other, running := range on {
+			if running.job.Owner == "tight" {
+				cpus += running.job.CPUs
+			}
+			if strings.HasPrefix(name, t.job.Ref+"/") {
+				if other.zone == w.zone {
+					inZone++
+				} else {
+					others++
+				}
+			}
+		}
+	}
+	if t.job.Spread && inZone > (t.job.Shards+1)/2 {
+		j.breakLocked("wrong_place", fmt.Sprintf("%s: %d of %d tasks in zone %s", t.name, inZone, t.job.Shards, w.zone))
+	}
+	if t.job.SamePlace && others > 0 {
+		j.breakLocked("wrong_place", fmt.Sprintf("%s begins in zone %s, %d tasks are elsewhere", t.name, w.zone, others))
+	}
+	if cpus > 24.001 {
+		j.breakLocked("quota", fmt.Sprintf("tight uses %.1f CPUs of 24 as %s begins", cpus, t.name))
+	}
+}
+
 // Ended is called when a task is no longer on its machine.
 func (j *Judge) Ended(w *Worker, t *task, why string) {
 	j.mu.Lock()
@@ -117,6 +151,12 @@
 		return
 	}
 	delete(j.running[t.name], w)
+	switch why {
+	case "done":
+		j.done[t.job.Ref]++
+	case leaseEnded:
+		j.lost[t.job.Ref]++
+	}
 	j.record.Add("worker", w.Host, "task ended", fmt.Sprintf("%s attempt %d, %s", t.name, t.attempt, why))
 	if at, ok := j.cancelled[t.job.Ref]; ok && time.Since(at).Seconds() > j.cancelS {
 		j.breakLocked("ran_cancelled", fmt.Sprintf("%s was on %s until %.1f s after its user was told", t.name, w.Host, time.Since(at).Seconds()))
@@ -138,6 +178,27 @@
 	return j.began[ref]
 }
 
+// DoneTasks returns how many tasks of a job completed.
+func (j *Judge) DoneTasks(ref string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.done[ref]
+}
+
+// LostByLease returns how many tasks of a job were killed as the lease of their worker ended.
+func (j *Judge) LostByLease(ref string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.lost[ref]
+}
+
+// IsCancelled reports whether a job's user was told that it is cancelled.
+func (j *Judge) IsCancelled(ref string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.cancelled[ref].IsZero()
+}
+
 // RunningTasks returns how many tasks of a job are on machines.
 func (j *Judge) RunningTasks(ref string) int {
 	j.mu.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,8 @@
 // cases are the cases by their names.
 var cases = map[string]func(trouble bool, record *Record) (broken []string, err error){
 	"history": playHistory,
+	"chaos":   playChaos,
+	"tiny":    playTiny,
 }
 
 func main() {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -168,8 +168,8 @@
 func (w *Worker) advance(now time.Time) {
 	lease := time.Duration(w.cluster.Site.Workers.Lease * float64(time.Second))
 	if now.Sub(w.renewed) > lease {
-		w.cluster.Record.Add("worker", w.Host, "lease ended", fmt.Sprintf("session %d, %d tasks", w.session, len(w.tasks)))
-		w.killAll("lease ended")
+		w.cluster.Record.Add("worker", w.Host, leaseEnded, fmt.Sprintf("session %d, %d tasks", w.session, len(w.tasks)))
+		w.killAll(leaseEnded)
 		w.session++
 		w.renewed = now
 		w.notify()
@@ -392,6 +392,18 @@
 		w.notify()
 	}
 	w.execute(request.Orders, "direct")
+	if w.cluster.LateCopies && rand.IntN(3) == 0 {
+		time.AfterFunc(time.Duration(2000+rand.IntN(14000))*time.Millisecond, func() {
+			if !w.wait() {
+				return
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if *request.Baton >= w.baton && *request.Tenure == w.session && !w.gone {
+				w.execute(request.Orders, "late copy")
+			}
+		})
+	}
 	answer(out, http.StatusOK, w.message())
 }
 
