--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -30,6 +30,9 @@
 	Addr  string
 	Types []MachineType
 	Boot  time.Duration // how long a machine takes until its worker reports
+	// Capacity is how many ordinary machines of a type, and how many spot machines, a zone has;
+	// nil: no limit.
+	Capacity map[string]int
 
 	cluster *Cluster
 	mu      sync.Mutex
@@ -92,6 +95,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hosts, known := c.hires[request.Hire]
+	if free := c.free(request.Flavour, request.Hall, request.Loaner); !known && free < request.HowMany {
+		if request.HowMany = free; free <= 0 {
+			c.cluster.Record.Add("cloud", request.Hire, "no capacity", fmt.Sprintf("%s %s spot=%v", request.Flavour, request.Hall, request.Loaner))
+			answer(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
+			return
+		}
+	}
 	for i := 0; !known && i < request.HowMany; i++ {
 		c.next++
 		host := fmt.Sprintf("vm-%06d", c.next)
@@ -109,6 +119,20 @@
 	answer(w, http.StatusOK, map[string]any{"hosts": hosts})
 }
 
+// free returns how many machines of a kind can still be rented.
+func (c *Cloud) free(flavour, zone string, spot bool) int {
+	if c.Capacity == nil {
+		return 50
+	}
+	free := c.Capacity[flavour+"/"+zone]
+	for _, worker := range c.hosts {
+		if worker.flavour.Label == flavour && worker.zone == zone && worker.spot == spot {
+			free--
+		}
+	}
+	return free
+}
+
 func (c *Cloud) giveBack(w http.ResponseWriter, body []byte) {
 	var request struct {
 		Hosts []string `json:"hosts"`
--- a/review/standin2/judge.go
+++ b/review/standin2/judge.go
@@ -171,6 +171,13 @@
 	return len(j.gang[fmt.Sprintf("%s#%d", t.job.Ref, t.attempt)]) >= t.job.Shards
 }
 
+// GangDone reports whether a task of a gang's attempt has completed: then all have.
+func (j *Judge) GangDone(t *task) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return t.job.Shape == "group" && j.done[t.job.Ref] > 0
+}
+
 // BeganTasks returns how many tasks of a job began.
 func (j *Judge) BeganTasks(ref string) int {
 	j.mu.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 	"history": playHistory,
 	"chaos":   playChaos,
 	"tiny":    playTiny,
+	"zone":    playZone,
 }
 
 func main() {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -190,7 +190,7 @@
 		case t.phase == "gathering" && w.cluster.Judge().GangComplete(t):
 			t.phase, t.endsAt = "running", now.Add(t.job.runs)
 			w.notify()
-		case t.phase == "running" && t.job.Shape != "service" && !now.Before(t.endsAt):
+		case t.phase == "running" && t.job.Shape != "service" && (!now.Before(t.endsAt) || w.cluster.Judge().GangDone(t)):
 			w.exit(t, "done")
 		}
 	}
