--- a/review/standin2/http.go
+++ b/review/standin2/http.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -38,9 +40,11 @@
 	return listener.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns an address whose port is free, at a loopback address of this process alone, so
+// that no other listener takes the port meanwhile.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp4", fmt.Sprintf("127.3.%d.%d:0", pid/250%250, 1+pid%250))
 	if err != nil {
 		return "", err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 	"chaos":   playChaos,
 	"tiny":    playTiny,
 	"zone":    playZone,
+	"copy":    playCopy,
 }
 
 func main() {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -34,8 +34,11 @@
 	order    []string
 	images   map[string]bool
 	change   chan struct{}
-	answered int // reports that were answered with 200
-	refused  int // reports that got another status
+	quiet    time.Time        // until then a worker that has begun again sends no report unless something changes
+	births   int              // how often the machine has begun again
+	starts   []commandRequest // the direct requests with starts that were executed
+	answered int              // reports that were answered with 200
+	refused  int              // reports that got another status
 	calls    caller
 }
 
@@ -77,6 +80,12 @@
 	WindDown float64 `json:"windDownS"`
 }
 
+type commandRequest struct {
+	Baton  *uint64 `json:"baton"`
+	Tenure *uint64 `json:"tenure"`
+	Orders []order `json:"orders"`
+}
+
 // NewWorker returns the worker of a machine that is being started, at an address of its own.
 func NewWorker(cluster *Cluster, host string, number int, flavour MachineType, zone string, spot bool) (*Worker, error) {
 	w := &Worker{Host: host, cluster: cluster, flavour: flavour, zone: zone, spot: spot, rented: time.Now(), session: 1,
@@ -131,6 +140,67 @@
 	}
 }
 
+// Restart ends all that runs on the machine, whose worker begins again at once: with session 1, no
+// token and no tasks. The images on its disk are still there.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cluster.Record.Add("worker", w.Host, "restarts", "")
+	w.killAll("restart")
+	w.session, w.tick, w.baton, w.renewed = 1, 0, 0, time.Now()
+	w.births++
+	select {
+	case <-w.change: // a change of the time before
+	default:
+	}
+	interval := w.cluster.Site.Workers.Report * (0.75 + 0.5*rand.Float64())
+	w.quiet = time.Now().Add(time.Duration(interval * float64(time.Second)))
+}
+
+// awaitReport waits while a worker that has begun again has no reason to report.
+func (w *Worker) awaitReport() {
+	for {
+		w.mu.Lock()
+		pause := time.Until(w.quiet)
+		w.mu.Unlock()
+		if pause <= 0 {
+			return
+		}
+		select {
+		case <-w.change:
+			return
+		case <-time.After(min(pause, 20*time.Millisecond)):
+		}
+	}
+}
+
+// RepeatStart delivers a copy of the request that started a task, which was executed and answered
+// before. It reports whether there was such a request.
+func (w *Worker) RepeatStart(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, request := range w.starts {
+		if !slices.ContainsFunc(request.Orders, func(o order) bool { return o.Verb == "start" && o.Shard == name }) {
+			continue
+		}
+		if *request.Baton < w.baton || *request.Tenure != w.session {
+			w.cluster.Record.Add("worker", w.Host, "late copy", fmt.Sprintf("refused: token %d, session %d", *request.Baton, *request.Tenure))
+			return true
+		}
+		w.baton = *request.Baton
+		w.execute(request.Orders, "late copy")
+		return true
+	}
+	return false
+}
+
+// Shows reports whether the worker lists a task.
+func (w *Worker) Shows(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tasks[name] != nil
+}
+
 // wait blocks while the machine hangs and reports whether the machine is still there.
 func (w *Worker) wait() bool {
 	w.mu.Lock()
@@ -176,23 +246,26 @@
 		return
 	}
 	for _, name := range w.order {
-		t := w.tasks[name]
-		switch {
-		case t.phase == "fetching" && !now.Before(t.ready):
-			w.images[t.job.Bundle] = true
-			t.phase = "running"
-			if t.job.Shape == "group" {
-				t.phase = "gathering"
-			}
-			w.cluster.Judge().Began(w, t)
-			t.endsAt = now.Add(t.job.runs)
-			w.notify()
-		case t.phase == "gathering" && w.cluster.Judge().GangComplete(t):
-			t.phase, t.endsAt = "running", now.Add(t.job.runs)
-			w.notify()
-		case t.phase == "running" && t.job.Shape != "service" && (!now.Before(t.endsAt) || w.cluster.Judge().GangDone(t)):
-			w.exit(t, "done")
+		w.advanceTask(w.tasks[name], now)
+	}
+}
+
+func (w *Worker) advanceTask(t *task, now time.Time) {
+	switch {
+	case t.phase == "fetching" && !now.Before(t.ready):
+		w.images[t.job.Bundle] = true
+		t.phase = "running"
+		if t.job.Shape == "group" {
+			t.phase = "gathering"
 		}
+		w.cluster.Judge().Began(w, t)
+		t.endsAt = now.Add(t.job.runs)
+		w.notify()
+	case t.phase == "gathering" && w.cluster.Judge().GangComplete(t):
+		t.phase, t.endsAt = "running", now.Add(t.job.runs)
+		w.notify()
+	case t.phase == "running" && t.job.Shape != "service" && (!now.Before(t.endsAt) || w.cluster.Judge().GangDone(t)):
+		w.exit(t, "done")
 	}
 }
 
@@ -232,9 +305,10 @@
 	at := rand.IntN(len(nodes))
 	interval := time.Duration(w.cluster.Site.Workers.Report * float64(time.Second))
 	for w.wait() {
+		w.awaitReport()
 		w.mu.Lock()
 		message, sentAt := w.message(), time.Now()
-		session := w.session
+		session, birth := w.session, w.births
 		w.mu.Unlock()
 		body, _ := json.Marshal(message)
 		if len(body) > maxBody {
@@ -250,7 +324,7 @@
 			return
 		}
 		if status == http.StatusOK && time.Since(sentAt) < 4*time.Second {
-			w.take(session, sentAt, reply.Baton, reply.Orders)
+			w.take(session, birth, sentAt, reply.Baton, reply.Orders)
 			pause := time.Duration(float64(interval) * (0.75 + 0.5*rand.Float64()))
 			time.Sleep(500 * time.Millisecond)
 			select {
@@ -274,10 +348,10 @@
 }
 
 // take executes an answer to a report.
-func (w *Worker) take(session uint64, sentAt time.Time, baton uint64, orders []order) {
+func (w *Worker) take(session uint64, birth int, sentAt time.Time, baton uint64, orders []order) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if session != w.session || baton == 0 || baton < w.baton {
+	if session != w.session || birth != w.births || baton == 0 || baton < w.baton {
 		return
 	}
 	w.answered++
@@ -338,6 +412,9 @@
 	}
 	w.tasks[o.Shard] = t
 	w.notify()
+	if t.phase == "fetching" {
+		w.advanceTask(t, time.Now()) // a task whose image is there begins at once
+	}
 }
 
 func (w *Worker) fits(job *Job) bool {
@@ -374,11 +451,7 @@
 }
 
 func (w *Worker) commands(out http.ResponseWriter, body []byte) {
-	var request struct {
-		Baton  *uint64 `json:"baton"`
-		Tenure *uint64 `json:"tenure"`
-		Orders []order `json:"orders"`
-	}
+	var request commandRequest
 	if json.Unmarshal(body, &request) != nil || request.Baton == nil || request.Tenure == nil {
 		answer(out, http.StatusBadRequest, map[string]string{"error": "malformed"})
 		return
@@ -392,6 +465,9 @@
 		w.notify()
 	}
 	w.execute(request.Orders, "direct")
+	if slices.ContainsFunc(request.Orders, func(o order) bool { return o.Verb == "start" }) {
+		w.starts = append(w.starts, request)
+	}
 	if w.cluster.LateCopies && rand.IntN(3) == 0 {
 		time.AfterFunc(time.Duration(2000+rand.IntN(14000))*time.Millisecond, func() {
 			if !w.wait() {
