--- a/review/standin2/case_zone.go
+++ b/review/standin2/case_zone.go
@@ -27,8 +27,8 @@
 
 const (
 	zoneTasks  = 30 // 240 CPUs: more than one zone has (224), fewer than both have (416)
-	zoneWait   = 90 * time.Second
-	zoneWithin = 112 * time.Second // time within which the case ends
+	waitLimit  = 90 * time.Second
+	waitWithin = 112 * time.Second // time within which a case ends
 )
 
 // playZone submits a gang for any zones and, as the trouble, before it an equal gang that must be
@@ -58,24 +58,7 @@
 	if status := c.Submit(c.Nodes[1], &job); status != http.StatusCreated {
 		return nil, fmt.Errorf("a submission got %d", status)
 	}
-	var roomSince time.Time // since when the rented machines have had room for the whole gang
-	for ; time.Since(began) < zoneWithin; time.Sleep(time.Second) {
-		room, started := c.Room(&job), c.Judge().BeganTasks(anyZones)
-		status, phase := c.Poll(c.Nodes[2], anyZones)
-		record.Add("judge", anyZones, fmt.Sprintf("%d tasks begun", started), fmt.Sprintf("room for %d tasks, poll: %d %s", room, status, phase))
-		switch {
-		case started >= zoneTasks:
-			return c.Judge().Broken(), nil
-		case room < zoneTasks:
-			roomSince = time.Time{}
-		case roomSince.IsZero():
-			roomSince = time.Now()
-		case time.Since(roomSince) > zoneWait:
-			c.Judge().Break("no job is left waiting for 90 s while a machine that fits has room", fmt.Sprintf("%s waits with none of its %d tasks begun, while the machines have had room for %d or more for %v", anyZones, zoneTasks, zoneTasks, zoneWait))
-			return c.Judge().Broken(), nil
-		}
-	}
-	return nil, fmt.Errorf("neither did %s start, nor was there room for it for %v", anyZones, zoneWait)
+	return c.awaitStart([]*Job{&job}, began)
 }
 
 // Room returns how many tasks of a job the free capacity of the machines that are up could take.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,6 +21,7 @@
 	"tiny":    playTiny,
 	"zone":    playZone,
 	"copy":    playCopy,
+	"hold":    playHold,
 }
 
 func main() {
