--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -45,6 +46,7 @@
 	users      caller
 	dir        string
 	stop       chan struct{}
+	stopped    atomic.Bool
 }
 
 // Node is one controller: its addresses, its link to the state service and its process.
@@ -76,6 +78,7 @@
 		return nil, err
 	}
 	c := &Cluster{Site: site, Record: record, judge: newJudge(record, site.Workers.Cancel), users: newCaller(), dir: dir, stop: make(chan struct{})}
+	active.Store(c)
 	c.State = NewState(site.State, c.stop)
 	for i := range site.Nodes {
 		node := &Node{Name: fmt.Sprintf("slipnode-%d", i), Zone: site.Zones[i%len(site.Zones)], Link: &Link{}, site: site, record: record}
@@ -146,6 +149,9 @@
 
 // Stop ends all that the case has started.
 func (c *Cluster) Stop() {
+	if !c.stopped.CompareAndSwap(false, true) {
+		return
+	}
 	close(c.stop)
 	for _, node := range c.Nodes {
 		node.Hold()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -5,6 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -14,6 +18,28 @@
 	exitCannotRun = 2
 )
 
+// longestCase is the time after which a case that has not ended could not run.
+const longestCase = 118 * time.Second
+
+// active is the cluster of the case, so that a signal or the time limit can end its processes.
+var active atomic.Pointer[Cluster]
+
+// abortLate ends the case with all its processes on a signal, or when it takes too long.
+func abortLate() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(longestCase):
+	}
+	if c := active.Load(); c != nil {
+		c.Stop()
+		c.Record.Close()
+	}
+	fmt.Println("could not run: ended by a signal or the time limit")
+	os.Exit(exitCannotRun)
+}
+
 // cases are the cases by their names.
 var cases = map[string]func(trouble bool, record *Record) (broken []string, err error){
 	"history": playHistory,
@@ -29,6 +55,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
 		os.Exit(exitCannotRun)
 	}
+	go abortLate()
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
