Starts are sent only in answers to heartbeats; a direct request asks for one

Excluded: a controller that sends the start again (none does after the cancellation), and an answer with too low a token (copies after the first answer are refused).

Change: no direct request begins a task. A start is decided when a heartbeat is answered, for what is placed, committed and not shown, and goes into the answer, which is executed once within 4 s or never. A direct request that begins nothing (the start of a task of a job that no user can submit, refused with no_such) makes the worker send a heartbeat at once; one is outstanding for a machine, its entry is reaped with the answer and counts nowhere. A start is outstanding until the next heartbeat; the reply to a direct call does not confirm it; if no heartbeat comes for longer than the worker waits for an answer, the machine's token is raised, under which the worker drops it. A placement that has to end meanwhile gets its stop directly. The raise of a machine's token before reaps and in the first answer after a restart went with the direct starts.

Emulator: a worker reports a task that it begins to fetch, as the protocol says; copies are made of all direct requests, not only of those with starts; responses to heartbeats can be up to 5 s late.

"expect listed" counts the tasks of submitted jobs by the same bound and allows one entry of other jobs.

--- a/internal/coordination/controller/agents.go
+++ b/internal/coordination/controller/agents.go
@@ -42,7 +42,8 @@
 		shard.RenewToken(replica.RenewalRestart)
 	}
 	machine.Commands.Pending, machine.Agent.RunningSince = nil, make(map[string]time.Time)
-	machine.Commands.StartSentAt, machine.Commands.StopSentAt = make(map[string]time.Time), make(map[string]time.Time)
+	machine.Agent.LastPosition, machine.Commands.Request = health.MessagePosition{}, replica.HeartbeatRequest{}
+	machine.Commands.StopSentAt = make(map[string]time.Time)
 	delete(c.pendingCommands, machine)
 	c.recordHeartbeat(machine, heartbeat)
 	if c.view.IsActive(shard) {
@@ -79,12 +80,10 @@
 	if c.silenceOf(machine, now) > c.policy.SuspectAfter {
 		machine.Agent.ContactRestoredAt = now // contact may be restored by a probe before heartbeats arrive: their absence counts against the machine only from now on
 	}
+	machine.Commands.Request.Listed = heartbeat.TakeHeartbeatRequest()
 	machine.Agent.Heartbeat, machine.Agent.LastContact = heartbeat, now
 	c.recordTaskStatuses(machine, heartbeat, now)
-	machine.Commands.Unknown = slices.DeleteFunc(machine.Commands.Unknown, func(start replica.UnknownStart) bool {
-		return heartbeat.FencingToken > start.FencingToken || heartbeat.AgentEpoch > start.AgentEpoch
-	})
-	machine.Commands.ForgetRefusedStarts(heartbeat.FencingToken)
+	machine.Commands.ForgetRefused(heartbeat)
 	if heartbeat.PreemptionNoticeS != nil && machine.Agent.PreemptionNoticeAt.IsZero() {
 		machine.Agent.PreemptionNoticeAt = now
 		c.log.Info("spot preemption notice", "host", machine.Host, "seconds", *heartbeat.PreemptionNoticeS)
@@ -221,7 +220,8 @@
 	return unavailable(heartbeatRetrySeconds)
 }
 
-// acceptHeartbeat records a heartbeat and answers with the machine's cleanup commands.
+// acceptHeartbeat records a heartbeat and answers with the machine's cleanup commands and the starts
+// of the tasks that are placed there and not shown.
 func (c *Controller) acceptHeartbeat(shard *replica.Shard, machine *replica.Machine, heartbeat *protocol.Heartbeat) transport.Response {
 	mayBeRestarted := machine.Agent.Heartbeat != nil && health.MayBeRestarted(replica.MessagePositionOf(machine.Agent.Heartbeat), replica.MessagePositionOf(heartbeat))
 	if mayBeRestarted && !machine.Detector.Probing {
@@ -229,20 +229,22 @@
 	}
 	machine.Commands.Token = max(machine.Commands.Token, heartbeat.FencingToken)
 	answer := protocol.HeartbeatResponse{Commands: []protocol.Command{}}
-	if mayBeRestarted {
-		// A restarted agent has forgotten every attempt and accepts the copies of all starts
-		// whose token is not below that of this answer.
-		c.view.RaiseToken(shard, machine, machine.Commands.HighestStartToken())
-	}
 	// If the agent may have restarted, this heartbeat may be late or the recorded one may be of
 	// an earlier incarnation. Neither is a basis for commands.
-	if !mayBeRestarted && c.observeHeartbeat(machine, heartbeat) {
-		machine.Agent.LastHeartbeat = time.Now()
+	isNext := false
+	if !mayBeRestarted {
+		c.observeHeartbeat(machine, heartbeat)
+		isNext = recordArrival(machine, heartbeat, time.Now())
 	}
 	if !mayBeRestarted && c.view.IsActive(shard) {
 		answer.Commands = append(answer.Commands, c.cleanupCommands(shard, machine)...)
 	}
 	answer.FencingToken = machine.CommandToken(shard)
+	if isNext && c.view.IsActive(shard) {
+		starts := c.startCommands(shard, machine, time.Now())
+		machine.Commands.RecordAnsweredStarts(starts, answer.FencingToken, heartbeat, time.Now())
+		answer.Commands = append(answer.Commands, starts...)
+	}
 	if len(answer.Commands) > 0 {
 		shard.Counts.Add(answer.Commands)
 		c.log.Debug("commands answered", "host", machine.Host, "token", answer.FencingToken, "agent_epoch", heartbeat.AgentEpoch, "sequence", heartbeat.Sequence, "revision", c.view.Revision, "commands", answer.Commands)
@@ -263,6 +265,9 @@
 		return nil // no commands before a heartbeat shows the current token
 	}
 	var commands []protocol.Command
+	if listed := machine.Commands.Request.Listed; listed != 0 {
+		commands = append(commands, protocol.ReapHeartbeatRequestCommand(listed))
+	}
 	now := time.Now()
 	for i := range machine.Agent.Heartbeat.Tasks {
 		status := &machine.Agent.Heartbeat.Tasks[i]
@@ -277,7 +282,7 @@
 			command := protocol.StopCommand(status.Task, status.Attempt, 0)
 			c.logDecision(machine, command, "not placed there")
 			commands = append(commands, command)
-		case c.view.MayReap(shard, machine, status.Task, status.Attempt):
+		default:
 			command := protocol.ReapCommand(status.Task, status.Attempt)
 			c.logDecision(machine, command, "end recorded")
 			commands = append(commands, command)
@@ -304,6 +309,6 @@
 		savesCheckpoint := status.Phase == protocol.TaskCheckpointing && grace != 0
 		return protocol.StopCommand(status.Task, status.Attempt, grace), !exited && !savesCheckpoint
 	}
-	startsAgain := exited && status.Cause == protocol.CauseGangTimeout && c.view.MayReap(shard, machine, status.Task, status.Attempt)
+	startsAgain := exited && status.Cause == protocol.CauseGangTimeout
 	return protocol.ReapCommand(status.Task, status.Attempt), startsAgain
 }
--- a/internal/coordination/controller/capacities.go
+++ b/internal/coordination/controller/capacities.go
@@ -98,10 +98,10 @@
 }
 
 // hasUnclearState reports whether a machine is quarantined, rejects starts, runs tasks of
-// unknown size, which are being ended, or has starts of unknown outcome.
+// unknown size, which are being ended, or has starts whose outcome stays unknown.
 func hasUnclearState(machine *replica.Machine, now time.Time) bool {
 	rejecting := !now.After(machine.Quarantine.RejectingUntil)
-	return machine.Quarantine.Active || rejecting || machine.Capacity.UnknownUse || len(machine.Commands.Unknown) > 0
+	return machine.Quarantine.Active || rejecting || machine.Capacity.UnknownUse || machine.Commands.HasOverdueStart(now)
 }
 
 // isReachable reports whether a machine was in contact within the policy's SuspectAfter, can receive
--- a/internal/coordination/controller/commandlog.go
+++ b/internal/coordination/controller/commandlog.go
@@ -28,7 +28,7 @@
 		}
 		counts := shard.Counts
 		c.log.Info("shard commands", "shard", name, "token", shard.FencingToken, "revision", c.view.Revision, "highest_token", highest,
-			"raised", counts.TokenRaises, "starts", counts.Starts, "stops", counts.Stops, "reaps", counts.Reaps)
+			"raised", counts.TokenRaises, "starts", counts.Starts, "stops", counts.Stops, "reaps", counts.Reaps, "heartbeat_requests", counts.HeartbeatRequests)
 		shard.Counts = replica.CommandCounts{}
 	}
 }
--- a/internal/coordination/controller/commands.go
+++ b/internal/coordination/controller/commands.go
@@ -20,7 +20,7 @@
 	return shard != nil && shard.FencingToken != 0 && machine.Record.State == records.MachineInUse
 }
 
-// queueCommands queues commands for a machine until the next sendPendingCommands or sendCommands.
+// queueCommands queues commands that begin no task for a machine until the next sendPendingCommands or sendCommands.
 func (c *Controller) queueCommands(shard *replica.Shard, machine *replica.Machine, commands ...protocol.Command) {
 	if !mayCommand(shard, machine) || machine.Address() == "" {
 		return
@@ -56,7 +56,6 @@
 	if request.Commands == nil {
 		request.Commands = []protocol.Command{}
 	}
-	machine.Commands.RecordStarts(&request)
 	address, ctx := machine.Address(), c.ctx
 	shard.Counts.Add(request.Commands)
 	c.log.Debug("commands sent", "host", machine.Host, "token", request.FencingToken, "agent_epoch", request.AgentEpoch, "revision", c.view.Revision, "commands", request.Commands)
@@ -65,7 +64,7 @@
 		status, err := c.callCommands(ctx, address, request, &heartbeat)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.recordCommandOutcome(machine, request, &heartbeat, status, err)
+		c.recordCommandOutcome(machine, &heartbeat, status, err)
 	}()
 }
 
@@ -76,14 +75,13 @@
 
 // recordCommandOutcome records the outcome of a call that sent commands, and sends the commands
 // queued meanwhile.
-func (c *Controller) recordCommandOutcome(machine *replica.Machine, request protocol.CommandRequest, heartbeat *protocol.Heartbeat, status int, err error) {
+func (c *Controller) recordCommandOutcome(machine *replica.Machine, heartbeat *protocol.Heartbeat, status int, err error) {
 	machine.Commands.Sending = false
 	machine.Commands.InFlight = nil
 	switch {
 	case isCommandOutcomeUnknown(status, err):
 		c.log.Debug("command outcome unknown", "host", machine.Host, "status", status, "err", err)
 		machine.Detector.Reachability.RecordFailure(time.Now(), machine.Agent.LastContact)
-		recordUnknownStarts(machine, request)
 	case err == nil && heartbeat.Host == machine.Host:
 		machine.Detector.Reachability.RecordAnswer(time.Now())
 		c.observeHeartbeat(machine, heartbeat)
@@ -104,19 +102,11 @@
 	return status != http.StatusOK && status != http.StatusConflict
 }
 
-// voidUnknownStarts raises the token of a machine that has starts of unknown outcome, if it is
-// likely to receive calls, and sends the token at once, and again while the machine has not shown it.
+// voidUnknownStarts raises the token of a machine that has starts of unknown outcome for longer than
+// its agent waits for an answer, if the machine is likely to receive calls, and sends the token
+// at once, and again while the machine has not shown it.
 func (c *Controller) voidUnknownStarts(shard *replica.Shard, machine *replica.Machine) {
-	if c.view.VoidUnknownStarts(shard, machine, time.Now()) && machine.Address() != "" {
+	if machine.Commands.HasOverdueStart(time.Now()) && c.view.VoidUnknownStarts(shard, machine, time.Now()) && machine.Address() != "" {
 		c.sendCommands(shard, machine)
 	}
 }
-
-// recordUnknownStarts records the start commands of a request whose outcome is unknown.
-func recordUnknownStarts(machine *replica.Machine, request protocol.CommandRequest) {
-	for _, command := range request.Commands {
-		if command.Verb == protocol.VerbStart {
-			machine.Commands.Unknown = append(machine.Commands.Unknown, replica.UnknownStart{Task: command.Task, Attempt: command.Attempt, FencingToken: request.FencingToken, AgentEpoch: request.AgentEpoch, SentAt: time.Now()})
-		}
-	}
-}
--- a/internal/coordination/controller/reconcile.go
+++ b/internal/coordination/controller/reconcile.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"madderslip/internal/coordination/replica"
@@ -221,14 +220,10 @@
 		return outcomePending
 	case !machine.ShowsToken(shard):
 		return outcomePending
-	case stop, c.isOverLimit(claim.Spec), machine.Detector.Reachability.CannotReceive(), c.cannotReport(machine, now) && !c.isStateDown(now):
-		// If the team's limit was lowered, running tasks continue but no task may start. A
-		// machine that cannot receive would not start the task. A machine that cannot report
-		// would lose the task when its lease expires; but while the state service is down the
-		// task cannot be placed elsewhere either, so it is started anyway.
-		return c.classifyNotStarted(task)
-	}
-	c.sendStart(task, now)
+	case stop, c.isStartForbidden(claim, machine, now):
+		return c.classifyNotStarted(task, stop, now)
+	}
+	c.requestStart(task, now)
 	return outcomePending
 }
 
@@ -270,20 +265,24 @@
 }
 
 // classifyNotStarted classifies a placement that its machine does not show and that must not
-// start any more. The placement is gone once no earlier start command can be executed late.
-func (c *Controller) classifyNotStarted(t *placedTask) outcome {
-	if t.machine.HasUnconfirmedStart(t.name, t.placement.Attempt) {
-		c.voidUnknownStarts(t.shard, t.machine)
-		return outcomePending
+// start any more. The placement is gone once no earlier start command can be executed late. If its
+// start was sent and the outcome is unknown, a placement that must end is stopped meanwhile.
+func (c *Controller) classifyNotStarted(task *placedTask, stop bool, now time.Time) outcome {
+	if !task.machine.HasUnconfirmedStart(task.name, task.placement.Attempt) {
+		return outcomeGone
 	}
-	return outcomeGone
+	if stop {
+		c.sendStop(task, 0, now)
+	}
+	c.voidUnknownStarts(task.shard, task.machine)
+	return outcomePending
 }
 
 // sendStop queues a stop command for a task and repeats it after resendInterval. A task that is
 // writing its checkpoint is not stopped while it has a grace period.
 func (c *Controller) sendStop(task *placedTask, grace time.Duration, now time.Time) {
 	commands := &task.machine.Commands
-	mayInterrupt := task.status.Phase != protocol.TaskCheckpointing || grace == 0
+	mayInterrupt := grace == 0 || task.status.Phase != protocol.TaskCheckpointing
 	if now.Sub(commands.StopSentAt[task.name]) > resendInterval && mayInterrupt {
 		commands.StopSentAt[task.name] = now
 		command := protocol.StopCommand(task.name, task.placement.Attempt, grace)
@@ -304,31 +303,6 @@
 	return "evicted"
 }
 
-// sendStart queues a start command for a task that is placed but not on its machine, because it
-// was never started or was lost when the agent epoch ended. The same attempt may start again,
-// since it can run nowhere else. Nothing is started while this controller has contact neither
-// with the state service nor with another controller: it could not learn that the job was
-// cancelled.
-func (c *Controller) sendStart(task *placedTask, now time.Time) {
-	commands := &task.machine.Commands
-	if !c.hasNoContact(now) && !task.hasQueuedStart() && now.Sub(commands.StartSentAt[task.name]) > resendInterval && task.machine.Record.State == records.MachineInUse {
-		commands.StartSentAt[task.name] = now
-		command := protocol.StartCommand(task.name, task.placement.Attempt)
-		c.logDecision(task.machine, command, "placed and not shown")
-		c.queueCommands(task.shard, task.machine, command)
-	}
-}
-
-// hasQueuedStart reports whether a start command of the task is queued or being sent.
-func (t *placedTask) hasQueuedStart() bool {
-	return slices.ContainsFunc(t.machine.Commands.Pending, isStartOf(t.name)) || slices.ContainsFunc(t.machine.Commands.InFlight, isStartOf(t.name))
-}
-
-// isStartOf returns a function that reports whether a command starts a task.
-func isStartOf(name string) func(protocol.Command) bool {
-	return func(command protocol.Command) bool { return command.Verb == protocol.VerbStart && command.Task == name }
-}
-
 const (
 	// checkpointMargin is added to the duration of a checkpoint to get the grace period.
 	checkpointMargin = 2 * time.Second
--- a/internal/coordination/replica/machine.go
+++ b/internal/coordination/replica/machine.go
@@ -35,6 +35,7 @@
 	Tasks              map[string]*protocol.TaskStatus // by task name: the statuses that the newest heartbeat lists
 	LastContact        time.Time                       // when the newest heartbeat or answer to a direct call arrived
 	LastHeartbeat      time.Time                       // when a heartbeat last arrived that is not the answer to a direct call
+	LastPosition       health.MessagePosition          // position of the latest heartbeat that is not the answer to a direct call; zero: none yet
 	ContactRestoredAt  time.Time                       // when contact with the machine was last restored after a silence
 	RunningSince       map[string]time.Time            // by task: when the task was first reported as running
 	PreemptionNoticeAt time.Time                       // when the agent of a spot instance first reported a preemption notice; zero: none
--- a/internal/coordination/replica/machinetoken.go
+++ b/internal/coordination/replica/machinetoken.go
@@ -1,16 +1,13 @@
 package replica
 
 import (
-	"maps"
 	"slices"
 	"time"
-
-	"madderslip/internal/protocol"
 )
 
-// A direct start that an agent has executed and answered may arrive at the agent again, minutes
-// later. As long as the agent keeps the attempt, exited or not, the copy has no effect. Once the
-// attempt is reaped, only a fencing token above that of the start refuses the copy.
+// Starts are sent in answers to heartbeats, which an agent executes once or drops. If no later
+// heartbeat arrives, a direct call under a higher token settles whether such an answer was executed:
+// the agent drops it from then on, and the status in its reply lists what was begun before.
 //
 // Each machine therefore has a token of its own, which is its shard's token or a higher one, and
 // which rises without a write. Every revision at which a process is known to own a shard is a
@@ -48,31 +45,6 @@
 	return true
 }
 
-// RecordStarts records the token under which starts are sent directly.
-func (q *CommandQueue) RecordStarts(request *protocol.CommandRequest) {
-	for _, command := range request.Commands {
-		if command.Verb == protocol.VerbStart {
-			q.StartTokens[command.Task] = request.FencingToken
-		}
-	}
-}
-
-// HighestStartToken returns the highest token under which a start was sent directly that the
-// agent may still execute, or 0 if there is none.
-func (q *CommandQueue) HighestStartToken() uint64 {
-	highest := uint64(0)
-	for _, token := range q.StartTokens {
-		highest = max(highest, token)
-	}
-	return highest
-}
-
-// ForgetRefusedStarts drops the records of starts that an agent refuses which has received a
-// token.
-func (q *CommandQueue) ForgetRefusedStarts(received uint64) {
-	maps.DeleteFunc(q.StartTokens, func(_ string, token uint64) bool { return token < received })
-}
-
 // tokenResendInterval is the time after which a token that voids starts of unknown outcome is
 // sent again to a machine that has not shown it.
 const tokenResendInterval = 3 * time.Second
@@ -97,18 +69,3 @@
 	machine.Commands.TokenSentAt = now
 	return true
 }
-
-// MayReap reports whether an exited attempt may be reaped in the answer to a heartbeat of its
-// machine. The answer then carries a token above that of every direct start of the attempt, also
-// of those whose outcome is unknown. The token does not rise while a call with commands is in
-// progress, which the agent would refuse.
-func (v *View) MayReap(shard *Shard, machine *Machine, task string, attempt uint64) bool {
-	if machine.HasQueuedStart(task, attempt) {
-		return false
-	}
-	sent := machine.Commands.StartTokens[task]
-	if sent < machine.CommandToken(shard) {
-		return true
-	}
-	return !machine.Commands.Sending && v.RaiseToken(shard, machine, sent)
-}
--- a/internal/coordination/replica/view_machines.go
+++ b/internal/coordination/replica/view_machines.go
@@ -43,7 +43,7 @@
 		Host:      host,
 		AdoptedAt: time.Now(),
 		Agent:     AgentState{RunningSince: make(map[string]time.Time)},
-		Commands:  CommandQueue{StartTokens: make(map[string]uint64), StartSentAt: make(map[string]time.Time), StopSentAt: make(map[string]time.Time)},
+		Commands:  CommandQueue{StopSentAt: make(map[string]time.Time)},
 	}
 	machine.Use = v.HostUse(host)
 	machine.Use.Machine = machine
@@ -67,8 +67,7 @@
 	}
 	m.Agent.RunningSince = map[string]time.Time{}
 	m.Commands.Pending, m.Commands.InFlight, m.Commands.Unknown = nil, nil, nil
-	m.Commands.StartSentAt, m.Commands.StopSentAt = map[string]time.Time{}, map[string]time.Time{}
-	m.Commands.StartTokens = map[string]uint64{}
+	m.Commands.StopSentAt = map[string]time.Time{}
 	m.Quarantine.Evidence = quarantine.MachineEvidence{}
 }
 
--- a/internal/emulator/agent.go
+++ b/internal/emulator/agent.go
@@ -21,6 +21,7 @@
 	wakeDelay        = 500 * time.Millisecond // time from a change of state to the heartbeat that reports the change
 	retryInterval    = time.Second            // time until the next heartbeat after one without a valid response
 	heartbeatTimeout = 4 * time.Second        // time limit for a controller's response to a heartbeat
+	maxResponseDelay = 5 * time.Second        // longest delay of a late response
 	zoneTimeout      = 5 * time.Second        // time limit for the response of a controller beyond a zone partition
 	rebootPoll       = 50 * time.Millisecond  // time between checks whether a reboot has finished
 )
@@ -88,11 +89,16 @@
 		left := time.Until(m.preemptionAt).Seconds()
 		h.PreemptionNoticeS = &left
 	}
+	unknown := 0
 	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
 		task := m.tasks[name]
+		if task.cause == protocol.CauseUnknownJob {
+			unknown++
+		}
 		h.Tasks = append(h.Tasks, protocol.TaskStatus{Task: name, Attempt: task.attempt, Phase: task.phase, Cause: task.cause, Checkpointed: task.checkpointed})
 	}
-	m.world.longestHeartbeat = max(m.world.longestHeartbeat, len(h.Tasks))
+	m.world.longestHeartbeat = max(m.world.longestHeartbeat, len(h.Tasks)-unknown)
+	m.world.mostUnknownListed = max(m.world.mostUnknownListed, unknown)
 	return h
 }
 
@@ -135,6 +141,10 @@
 	case <-time.After(heartbeatTimeout):
 	case <-ctx.Done():
 	}
+	if h.response > heartbeatTimeout {
+		wait(ctx, heartbeatTimeout)
+		return retryInterval
+	}
 	if !wait(ctx, h.response) {
 		return retryInterval
 	}
@@ -203,6 +213,9 @@
 	}
 	h.request = w.between(minDelay, maxDelay, m.host, h.sequence)
 	h.response = w.between(minDelay, maxDelay, m.host, h.sequence)
+	if w.hasFault(faultLateResponses) && w.chance(40, "late response", m.host, h.sequence) {
+		h.response = w.between(maxDelay, maxResponseDelay, "late response", m.host, h.sequence)
+	}
 	return h
 }
 
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -30,11 +30,14 @@
 	// faultLateHeartbeats: a copy of two in five of the workers' heartbeats arrives between
 	// 2 s and one and a half lease durations later.
 	faultLateHeartbeats = "late reports"
+	// faultLateResponses: two in five of the responses to workers' heartbeats arrive up to 5 s
+	// later; a worker drops those that arrive after its time limit.
+	faultLateResponses = "late responses"
 	// faultRepeatedCommands: up to three copies of two in five of the direct calls that a worker
 	// has executed arrive again, 0.1 s to 4 min later.
 	faultRepeatedCommands = "repeated commands"
-	// faultKeptCommands: every direct call with a start that a worker has executed is kept, and a
-	// copy of it arrives again each time that RepeatCommands is called.
+	// faultKeptCommands: every direct call that a worker has executed is kept, and a copy of it
+	// arrives again each time that RepeatCommands is called.
 	faultKeptCommands = "kept commands"
 	// faultStaleHeartbeats: copies of two in five of the workers' heartbeats are kept and
 	// delivered to every controller when a shard gets a new fencing token.
@@ -91,7 +94,7 @@
 
 // worldFaults are the faults that affect the whole world.
 var worldFaults = []string{faultStateOutage, faultStateSlow, faultLateAnswers, faultStateLossy, faultLateWrites, faultUnansweredWrites, faultNoWriteAnswered,
-	faultLateHeartbeats, faultStaleHeartbeats, faultRepeatedCommands, faultKeptCommands, faultConcurrentReads, faultCancelOnAccept, faultCancelOnEnd, faultInvalidRequests,
+	faultLateHeartbeats, faultStaleHeartbeats, faultLateResponses, faultRepeatedCommands, faultKeptCommands, faultConcurrentReads, faultCancelOnAccept, faultCancelOnEnd, faultInvalidRequests,
 	faultCloudDown, faultNoCapacity, faultHalfCapacity, faultSlowBoots, faultNoBoots, faultFastBoots, faultCloudLossy}
 
 // targetedFaults are the faults that affect one controller or zone.
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -42,7 +42,7 @@
 	leaseRenewedAt  time.Time
 	tokenWokeAt     time.Time     // when a higher fencing token last made the agent report soon
 	clockDrift      time.Duration // how much longer 2,000 s on the worker's clock take in real time
-	keptCommands    []func()      // each delivers a copy of a direct call with a start that the worker has executed
+	keptCommands    []func()      // each delivers a copy of a direct call that the worker has executed
 	resendHeartbeat func()        // delivers the latest heartbeat once more; nil before the first heartbeat
 }
 
--- a/internal/emulator/repeatedcommands.go
+++ b/internal/emulator/repeatedcommands.go
@@ -1,10 +1,11 @@
 package emulator
 
 import (
-	"bytes"
 	"maps"
 	"slices"
 	"time"
+
+	"madderslip/internal/protocol"
 )
 
 // copyDelays are the bounds of the time between the execution of a direct call and the arrival
@@ -19,15 +20,12 @@
 // maxCopies is the largest number of copies of one call that arrive.
 const maxCopies = 3
 
-// startCommand is the text that a call with a start command contains.
-var startCommand = []byte(`"verb":"` + verbStart + `"`)
-
 // repeatCommands makes copies of two in five of the direct calls that a worker has executed
-// arrive again later, and keeps a call with a start for RepeatCommands if it is to be kept. The
+// arrive again later, and keeps each call for RepeatCommands if calls are to be kept. The
 // world's lock is held by the caller.
 func (m *Machine) repeatCommands(node string, body []byte) {
 	w := m.world
-	if w.hasFault(faultKeptCommands) && bytes.Contains(body, startCommand) {
+	if w.hasFault(faultKeptCommands) {
 		m.keptCommands = append(m.keptCommands, func() { m.deliverCopy(node, body) })
 	}
 	if !w.hasFault(faultRepeatedCommands) || !w.chance(40, "again", m.host, string(body)) {
@@ -55,13 +53,14 @@
 }
 
 // executeCopy executes a copy of a call, whose answer no controller receives, and counts the
-// tasks that the copy starts. The world's lock is held by the caller.
+// tasks that the copy starts. A start that is refused since no such job exists is none. The
+// world's lock is held by the caller.
 func (m *Machine) executeCopy(body []byte) {
 	before := maps.Clone(m.tasks)
 	status, _ := m.handleCommands(body)
 	m.world.recordEvent("%s gets a late copy of commands: %d %s", m.host, status, body)
 	for name, task := range m.tasks {
-		if before[name] != task {
+		if before[name] != task && task.cause != protocol.CauseUnknownJob {
 			m.world.startsByCopies++
 		}
 	}
--- a/internal/emulator/task.go
+++ b/internal/emulator/task.go
@@ -40,6 +40,7 @@
 		m.exitTask(name, task, protocol.CauseNoCapacity)
 		return
 	}
+	m.wakeAgent() // the task is a new entry of the heartbeat
 	fetch := max(time.Second, job.Fetch)
 	if m.cachedImages[job.Spec.Image] {
 		fetch = time.Millisecond
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -50,14 +50,15 @@
 	activeFaults map[string]bool              // by the name passed to SetFault
 	partitions
 
-	machines         map[string]*Machine // by host, including removed ones
-	machineCount     int
-	spareMachines    int                 // number of machines that the cloud can still rent out
-	provisioned      map[string][]string // hosts, by the name of the provision request
-	longestHeartbeat int                 // largest number of tasks in a heartbeat
-	startsByCopies   int                 // tasks that late copies of direct calls have started
-	heldDeliveries   map[string][]func() // by host, messages to or from a hung or partitioned machine, delivered when the machine recovers
-	keptHeartbeats   map[string][][]byte // by host, copies of heartbeats, replayed when a shard gets a new fencing token
+	machines          map[string]*Machine // by host, including removed ones
+	machineCount      int
+	spareMachines     int                 // number of machines that the cloud can still rent out
+	provisioned       map[string][]string // hosts, by the name of the provision request
+	longestHeartbeat  int                 // largest number of tasks of known jobs in a heartbeat
+	mostUnknownListed int                 // largest number of tasks in a heartbeat whose jobs were never submitted
+	startsByCopies    int                 // tasks that late copies of direct calls have started
+	heldDeliveries    map[string][]func() // by host, messages to or from a hung or partitioned machine, delivered when the machine recovers
+	keptHeartbeats    map[string][][]byte // by host, copies of heartbeats, replayed when a shard gets a new fencing token
 
 	jobs            map[string]*Job
 	cancelRequested map[string]bool          // jobs whose cancellation a user has requested
@@ -116,7 +117,15 @@
 	w.recordEvent(format, details...)
 }
 
-// LongestHeartbeat returns the largest number of tasks that a heartbeat has listed.
+// MostUnknownListed returns the largest number of tasks that a heartbeat has listed of jobs that
+// were never submitted.
+func (w *World) MostUnknownListed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mostUnknownListed
+}
+
+// LongestHeartbeat returns the largest number of tasks of submitted jobs that a heartbeat has listed.
 func (w *World) LongestHeartbeat() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/protocol/agents.go
+++ b/internal/protocol/agents.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -111,6 +112,41 @@
 	return Command{Verb: VerbReap, Task: task, Attempt: attempt}
 }
 
+// heartbeatRequestTask is the task of the command that RequestHeartbeatCommand returns. Its job
+// cannot be submitted, since the job's id does not have the form of a job id.
+const heartbeatRequestTask = "wk-heartbeat/0"
+
+// RequestHeartbeatCommand returns a command that begins nothing and makes a worker send its next
+// heartbeat at once: the start of a task of a job that cannot exist. The worker refuses it, and
+// reports the refused attempt as a change of its tasks. The attempt must differ from the one
+// that the worker lists, or nothing changes.
+func RequestHeartbeatCommand(attempt uint64) Command {
+	return StartCommand(heartbeatRequestTask, attempt)
+}
+
+// ReapHeartbeatRequestCommand returns the command that removes the refused attempt of a
+// RequestHeartbeatCommand from the worker's memory.
+func ReapHeartbeatRequestCommand(attempt uint64) Command {
+	return ReapCommand(heartbeatRequestTask, attempt)
+}
+
+// IsHeartbeatRequest reports whether a command is a RequestHeartbeatCommand.
+func (c *Command) IsHeartbeatRequest() bool {
+	return c.Verb == VerbStart && c.Task == heartbeatRequestTask
+}
+
+// TakeHeartbeatRequest removes the refused attempt of a RequestHeartbeatCommand from the tasks of
+// a heartbeat and returns the attempt, or 0 if the heartbeat lists none.
+func (h *Heartbeat) TakeHeartbeatRequest() uint64 {
+	index := slices.IndexFunc(h.Tasks, func(status TaskStatus) bool { return status.Task == heartbeatRequestTask })
+	if index < 0 {
+		return 0
+	}
+	attempt := h.Tasks[index].Attempt
+	h.Tasks = slices.Delete(h.Tasks, index, index+1)
+	return attempt
+}
+
 // HeartbeatResponse is sent by a controller to a worker in response to a Heartbeat. It
 // renews the worker's lease and carries commands.
 //
--- a/internal/simtest/expectations.go
+++ b/internal/simtest/expectations.go
@@ -149,11 +149,19 @@
 	return nil
 }
 
-// expectListed checks "listed MOST": no heartbeat has listed more than MOST tasks so far.
+// maxUnknownListed is the number of tasks of jobs that were never submitted which a heartbeat may
+// list: the one of the latest heartbeat request.
+const maxUnknownListed = 1
+
+// expectListed checks "listed MOST": no heartbeat has listed more than MOST tasks of submitted jobs
+// so far, and none more than maxUnknownListed of other jobs.
 func (c *cluster) expectListed(f command) error {
 	if got := c.world.LongestHeartbeat(); got > f.number(1) {
 		return fmt.Errorf("a heartbeat listed %d tasks", got)
 	}
+	if got := c.world.MostUnknownListed(); got > maxUnknownListed {
+		return fmt.Errorf("a heartbeat listed %d tasks of unknown jobs", got)
+	}
 	return nil
 }
 
