A new owner probes a machine with an old cancelled task, and fences it if it does not answer

Cause: an owner that has just begun to act gives a machine two heartbeat timeouts (13 s here) to come into contact. Each process that ends within that time passes the wait on to the next one. Evidence: the trace; n1 acts for the machine from 38.69 to 43.39 s, the cancellation is 15.9 to 20.6 s old of 30, and nothing is sent to the machine; without a heartbeat it is probed after suspect_after, 10.5 s. Excluded: a return that is too slow (none begins before 50.90 s) and an age that begins anew (the fence comes at once at 50.90).

Change: two fifths of the bound after the cancellation, when an earlier owner would have fenced the machine, a new owner probes it; if it does not answer and has not been in contact since, it is fenced, provided that its zone is in contact: another machine of the shard there, else a controller of the zone or the owner's own zone.

--- a/internal/coordination/controller/cancellations.go
+++ b/internal/coordination/controller/cancellations.go
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	c.probeForeignCancelledTasks(pass.probes, now)
+	c.probeCancelledTasks(pass.probes, now)
 	if len(pass.unrecorded) > 0 && !c.provisioner.returningUnrecorded {
 		slices.Sort(pass.unrecorded)
 		hosts := pass.unrecorded[:min(len(pass.unrecorded), maxReturnsPerCall)]
@@ -78,7 +78,7 @@
 	}
 	mustReturn := false
 	if c.view.IsActive(c.view.Shards[machine.Record.Shard]) {
-		mustReturn = c.mayRunTask(machine, slot) && c.enforceCancellation(job, machine, pass.now)
+		mustReturn = c.mayRunTask(machine, slot) && c.enforceCancellation(pass, job, machine)
 	} else if machine.Record.State == records.MachineInUse {
 		task := c.foreignCancelledTask(job, machine, slot, pass.now)
 		mustReturn = pass.mayAct && task.ShouldReturn(c.settings.Workers.CancelDeadline, c.isStateDown(pass.now)) && !c.isRefusedAlone(pass.now)
@@ -101,12 +101,16 @@
 	return !machine.ShowsToken(c.view.Shards[machine.Record.Shard]) || machine.HasUnconfirmedStart(slot.TaskName, slot.Attempt)
 }
 
-// enforceCancellation fences a machine if a fence is due, and reports whether the machine must
-// be returned without waiting any longer for a record.
-func (c *Controller) enforceCancellation(job *replica.Job, machine *replica.Machine, now time.Time) bool {
+// enforceCancellation fences a machine if a fence is due, or adds it to the pass's probes, and
+// reports whether the machine must be returned without waiting any longer for a record.
+func (c *Controller) enforceCancellation(pass *cancellationPass, job *replica.Job, machine *replica.Machine) bool {
+	now := pass.now
 	limit, shard := c.settings.Workers.CancelDeadline, c.view.Shards[machine.Record.Shard]
 	cancelled := health.CancelledTask{Age: now.Sub(job.FinalAt), TokenShown: machine.ShowsToken(shard), OwnedFor: now.Sub(shard.OwnedSince),
-		Silent: c.isSilentByItself(shard, machine, now)}
+		Silent: c.isSilentByItself(shard, machine, now), Unanswered: c.isUnansweredByItself(shard, machine), SinceProbe: now.Sub(machine.Detector.CancellationProbedAt)}
+	if cancelled.ShouldProbe(limit) && !machine.Detector.Probing && machine.Address() != "" {
+		pass.probes[machine] = true
+	}
 	if !cancelled.ShouldFence(limit, c.maxHeartbeatGap()) {
 		return false
 	}
@@ -128,6 +132,37 @@
 	return silent && !c.isSelfIsolated(shard, now) && !c.isPartitioned(machine.Record.Zone, now)
 }
 
+// isUnansweredByItself reports whether a machine has not been in contact since this process began to
+// act for its shard and did not answer a probe, while its zone is in contact: the fault is then
+// neither this controller's own nor a partition of the zone.
+func (c *Controller) isUnansweredByItself(shard *replica.Shard, machine *replica.Machine) bool {
+	began := shard.OwnedSince
+	if machine.Agent.LastContact.After(began) || !machine.Detector.UnansweredAt.After(began) {
+		return false
+	}
+	return c.isZoneInContact(shard, machine, began)
+}
+
+// isZoneInContact reports whether another machine of a shard that is in the same zone as the given one
+// has been in contact since a time. If the shard has none there, a controller of the zone must
+// have been, unless this process is in the zone itself.
+func (c *Controller) isZoneInContact(shard *replica.Shard, machine *replica.Machine, since time.Time) bool {
+	zone, alone := machine.Record.Zone, true
+	for _, other := range shard.Machines {
+		if other == machine || other.Record.Zone != zone {
+			continue
+		}
+		if other.Agent.LastContact.After(since) {
+			return true
+		}
+		alone = false
+	}
+	isContactOfZone := func(peer protocol.Peer) bool {
+		return peer.Zone == zone && c.membership.lastContact[peer.Node].After(since)
+	}
+	return alone && (zone == c.settings.Zone || slices.ContainsFunc(c.settings.Peers, isContactOfZone))
+}
+
 // foreignCancelledTask returns what this controller has observed of a cancelled task on a machine
 // whose shard it may not act for.
 func (c *Controller) foreignCancelledTask(job *replica.Job, machine *replica.Machine, slot *replica.Slot, now time.Time) health.ForeignCancelledTask {
@@ -161,10 +196,10 @@
 // passes a second.
 const maxCancelProbes = 20
 
-// probeForeignCancelledTasks probes the machines that are due, the least recently probed ones first.
-// Each controller starts at a different position of the list, so that together the controllers
-// probe all machines sooner.
-func (c *Controller) probeForeignCancelledTasks(due map[*replica.Machine]bool, now time.Time) {
+// probeCancelledTasks probes the machines with cancelled tasks that are due, the least recently
+// probed ones first. Each controller starts at a different position of the list, so that together
+// the controllers probe all machines sooner.
+func (c *Controller) probeCancelledTasks(due map[*replica.Machine]bool, now time.Time) {
 	machines := slices.SortedFunc(maps.Keys(due), compareHosts)
 	controllers := append(slices.Collect(maps.Keys(c.peerClients)), c.settings.NodeName)
 	slices.Sort(controllers)
--- a/internal/coordination/controller/cancellations_test.go
+++ b/internal/coordination/controller/cancellations_test.go
@@ -3,7 +3,9 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"madderslip/internal/coordination/replica"
 	"madderslip/internal/protocol"
 	"madderslip/internal/storage/records"
 )
@@ -38,3 +40,43 @@
 		}
 	})
 }
+
+// TestUnansweredProbeCountsWhileZoneIsInContact guards against machines that a new owner fences since its own
+// links or those of a zone are cut.
+func TestUnansweredProbeCountsWhileZoneIsInContact(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(controller *Controller, shard *replica.Shard, machine *replica.Machine)
+		want    bool
+	}{
+		{"another machine of its zone is in contact", func(controller *Controller, shard *replica.Shard, _ *replica.Machine) {
+			controller.respondToHeartbeat(heartbeatOf(shard.Machines[1], 99))
+		}, true},
+		{"no machine of its zone is in contact", func(*Controller, *replica.Shard, *replica.Machine) {}, false},
+		{"it has been in contact itself", func(controller *Controller, shard *replica.Shard, machine *replica.Machine) {
+			controller.respondToHeartbeat(heartbeatOf(shard.Machines[1], 99))
+			controller.respondToHeartbeat(heartbeatOf(machine, 99))
+		}, false},
+		{"it is alone in its zone, and a controller of the zone is in contact", func(controller *Controller, shard *replica.Shard, machine *replica.Machine) {
+			shard.Machines, machine.Record.Zone = shard.Machines[:1], "b"
+			controller.membership.lastContact["n1"] = time.Now()
+		}, true},
+		{"it is alone in its zone, and no controller of the zone is in contact", func(controller *Controller, shard *replica.Shard, machine *replica.Machine) {
+			shard.Machines, machine.Record.Zone = shard.Machines[:1], "b"
+			controller.membership.lastContact["n2"] = time.Now()
+		}, false},
+	} {
+		inFleet(t, 30, func(t *testing.T, controller *Controller) {
+			shard := controller.view.Shards["n0"]
+			machine := shard.Machines[0]
+			time.Sleep(time.Second)
+			shard.OwnedSince = time.Now()
+			time.Sleep(time.Second)
+			machine.Detector.UnansweredAt = time.Now()
+			test.prepare(controller, shard, machine)
+			if got := controller.isUnansweredByItself(shard, machine); got != test.want {
+				t.Errorf("%s: %v", test.name, got)
+			}
+		})
+	}
+}
--- a/internal/coordination/health/cancelled_tasks.go
+++ b/internal/coordination/health/cancelled_tasks.go
@@ -12,6 +12,10 @@
 	Silent     bool          // the machine is silent while others are not, and did not answer a probe
 	TokenShown bool          // the machine's newest heartbeat has the owner's fencing token
 	OwnedFor   time.Duration // time since the owner began to act for the machine
+	// Unanswered is set if the machine has not been in contact since the owner began to act for it
+	// and did not answer a probe, while others of its zone are in contact.
+	Unanswered bool
+	SinceProbe time.Duration // time since the owner last probed the machine because of the task
 }
 
 // escalationAge returns the age of a cancellation from which a machine is fenced or returned
@@ -41,12 +45,21 @@
 // After a restart or a takeover an owner may find old cancellations before any machine has
 // come into contact. Most machines stop the task upon their first heartbeat, so each is
 // given two heartbeat timeouts if the limit leaves that time. This prevents a new owner from
-// fencing many machines at once, with all tasks that run there.
+// fencing many machines at once, with all tasks that run there. A machine that does not answer a
+// probe while others do gets no more time: the owner may end before the limit leaves none, and
+// its successors as well.
 func (t CancelledTask) ShouldFence(limit, heartbeatTimeout time.Duration) bool {
 	if t.Silent || t.Age > escalationAge(limit) {
 		return true
 	}
-	return t.Age > stopGrace(limit) && (t.TokenShown || t.OwnedFor > contactTimeouts*heartbeatTimeout)
+	hadTime := t.TokenShown || t.Unanswered || t.OwnedFor > contactTimeouts*heartbeatTimeout
+	return t.Age > stopGrace(limit) && hadTime
+}
+
+// ShouldProbe reports whether a new owner probes a machine that has not shown its token yet, as soon
+// as an earlier owner would have fenced the machine.
+func (t CancelledTask) ShouldProbe(limit time.Duration) bool {
+	return t.Age > stopGrace(limit) && !t.TokenShown && !t.Unanswered && t.SinceProbe >= probeInterval
 }
 
 // ShouldReturnUnrecorded reports whether a machine that should be fenced has to be returned
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -67,6 +67,8 @@
 	{"a machine's token stays at or below the revision of the view", "coordination/replica/machinetoken.go", `	if v.OwnedRevision(shard) <= above {`, `	if false {`},
 	{"a machine that keeps a cancelled task is fenced", "coordination/controller/probes.go", `		c.enforceCancellations(now)
 `, ``},
+	{"a new owner fences a machine that does not answer it", "coordination/health/cancelled_tasks.go", `t.TokenShown || t.Unanswered || `, `t.TokenShown || `},
+	{"an unanswered probe counts while the zone is in contact", "coordination/controller/cancellations.go", `	return c.isZoneInContact(shard, machine, began)`, `	return c.isZoneInContact(shard, machine, began) || true`},
 	{"an overdue cancelled task's machine is returned without a record", "coordination/controller/cancellations.go", `return cancelled.ShouldReturnUnrecorded(limit, c.isStateDown(now)) && machine.Record.State == records.MachineInUse && !c.isRefusedAlone(now)`, `return false`},
 	{"messages report observed access to the state service", "coordination/controller/peers.go", `StateReachable:  time.Since(servedAt) < stateReachableTTL,`, `StateReachable:  true,`},
 	{"other messages of older versions do not report access", "coordination/controller/stateaccess.go", `case message.Periodic && message.StateReachable:`, `case message.StateReachable:`},
