Requests that differ in their constraints on zones do not count as equal

Cause: a pass remembers the requests for which it found no capacity and skips equal ones; what counts as equal had neither sameZone nor spread, and isRestricted looks at the zones of placed tasks only. Excluded: capacity held for the first gang; with one controller and one shard, so without reservations across shards, it waits too.

Change: placement.RequestKey has both, the second with the number of tasks, since at most half of them may be in a zone.

--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -121,6 +121,8 @@
 	zone         string
 	shape        protocol.Shape
 	allowSpot    bool
+	sameZone     bool
+	spreadTasks  int // number of tasks of a job that must spread over zones; 0 for others
 	gangTasks    int
 	machineTypes string
 }
@@ -130,10 +132,14 @@
 	key := RequestKey{
 		resources: protocol.MachineResources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
 		image:     spec.Image, priority: spec.Priority(), zone: spec.Zone, shape: spec.Shape, allowSpot: spec.AllowSpot,
+		sameZone: spec.SameZone,
 	}
 	if spec.Shape == protocol.ShapeGang {
 		key.gangTasks = spec.Tasks
 	}
+	if spec.SpreadZones {
+		key.spreadTasks = spec.Tasks
+	}
 	if len(spec.MachineTypes) > 0 {
 		key.machineTypes = strings.Join(spec.MachineTypes, " ")
 	}
