Capacity is reserved only for gangs that all shards can hold, and other work is placed in between

Cause: the leader reserved capacity across shards for every gang that exceeds each shard, also for one that all machines, empty, could not hold; and when a reservation ended, the next gang's began while its record was being removed (53.07 and 53.17 s in the trace), so two such gangs held all free capacity by turns. Excluded: the service being skipped as a request that failed; with one gang it begins after the reservation.

Change: a gang gets a reservation only if the machines of all shards hold all its tasks under its constraint on zones; after one that ended without a placement no other begins for 3 s, counted from the removal of the record.

--- a/internal/coordination/controller/gangs.go
+++ b/internal/coordination/controller/gangs.go
@@ -27,7 +27,7 @@
 )
 
 // crossShardGangs lists the waiting gangs that no shard could hold even with all its machines
-// empty, in the order of the queue. It includes gangs that were placed across shards before
+// empty, and all shards together could, in the order of the queue. It includes gangs that were placed across shards before
 // and whose attempt has ended: since no shard holds the claim of such a gang, the gang would
 // otherwise wait without bound once a shard has grown large enough for it.
 func (c *Controller) crossShardGangs(now time.Time) []*replica.Job {
@@ -36,7 +36,8 @@
 		if !isWaitingGang(job, now) || !canReserveAcrossShards(job) {
 			continue
 		}
-		if c.tasksInLargestGroup(job.Spec()) < job.Spec().Tasks || job.Claims[0] != nil {
+		exceedsShards := c.tasksInLargestGroup(job.Spec()) < job.Spec().Tasks || job.Claims[0] != nil
+		if exceedsShards && c.tasksAcrossShards(job.Spec()) >= job.Spec().Tasks {
 			gangs = append(gangs, job)
 		}
 	}
@@ -60,6 +61,43 @@
 // tasksInLargestGroup returns how many tasks of a gang fit the group of machines that holds
 // the most of them, with all machines empty.
 func (c *Controller) tasksInLargestGroup(spec *protocol.Submission) int {
+	largest := 0
+	groups := make(map[machineGroup]int)
+	for group, count := range c.tasksByGroup(spec) {
+		if !spec.SameZone {
+			group.zone = ""
+		}
+		groups[group] += count
+		largest = max(largest, groups[group])
+	}
+	return largest
+}
+
+// tasksAcrossShards returns how many tasks of a gang the machines of all shards hold, with all
+// machines empty, under the gang's constraint on zones. Capacity that is reserved for a gang
+// which they cannot hold would be kept from all other work for nothing.
+func (c *Controller) tasksAcrossShards(spec *protocol.Submission) int {
+	byZone := make(map[string]int)
+	for group, count := range c.tasksByGroup(spec) {
+		byZone[group.zone] += count
+	}
+	largest, sum := 0, 0
+	for _, count := range byZone {
+		largest = max(largest, count)
+		if spec.SpreadZones {
+			count = min(count, (spec.Tasks+1)/2)
+		}
+		sum += count
+	}
+	if spec.SameZone {
+		return largest
+	}
+	return sum
+}
+
+// tasksByGroup returns how many tasks of a job the machines of each shard in each zone hold, with
+// all machines empty.
+func (c *Controller) tasksByGroup(spec *protocol.Submission) map[machineGroup]int {
 	tasks := make(map[machineGroup]int)
 	for _, shard := range c.view.Shards {
 		for kind, count := range shard.Kinds {
@@ -67,18 +105,10 @@
 			if machineType == nil || !placement.FitsEmpty(spec, machineType) || !placement.Allowed(spec, kind.Type, kind.Zone, kind.Spot) {
 				continue
 			}
-			group := machineGroup{shard: shard.Name}
-			if spec.SameZone {
-				group.zone = kind.Zone
-			}
-			tasks[group] += placement.TasksPerMachine(spec, machineType) * count
+			tasks[machineGroup{shard.Name, kind.Zone}] += placement.TasksPerMachine(spec, machineType) * count
 		}
 	}
-	largest := 0
-	for _, count := range tasks {
-		largest = max(largest, count)
-	}
-	return largest
+	return tasks
 }
 
 // canReserveAcrossShards reports whether a job may be placed across shards: no shard has
@@ -101,6 +131,9 @@
 		return
 	}
 	c.gangsSearchedAt = now
+	if c.isYielding(now) {
+		return
+	}
 	for team := range c.settings.Teams {
 		c.view.Quota.SetDemand(team, quota.CrossShard, nil, false, now)
 	}
@@ -112,6 +145,21 @@
 	}
 }
 
+// isYielding reports whether a reservation is being ended, or has just ended while its gang still
+// waits. The next reservation begins later, so that other work can be placed in between: otherwise gangs that
+// fit only once that work is gone would hold all free capacity by turns.
+func (c *Controller) isYielding(now time.Time) bool {
+	for jobID, reservation := range c.view.GangReservations {
+		job := c.view.Jobs[jobID]
+		isEnding := reservation.Version != 0 && reservation.Writing
+		hasEnded := reservation.Version == 0 && now.Before(reservation.YieldsUntil())
+		if isEnding || (hasEnded && job != nil && canReserveAcrossShards(job)) {
+			return true
+		}
+	}
+	return false
+}
+
 // currentGang returns the gang that has a valid reservation, or nil. It ends reservations
 // that are no longer valid, among them that of a job that a shard has claimed since, which
 // prevents the job from being placed a second time (rule ran_twice).
--- a/internal/coordination/replica/gangs.go
+++ b/internal/coordination/replica/gangs.go
@@ -11,6 +11,10 @@
 // for the job again.
 const gangRetryPause = 20 * time.Second
 
+// gangYieldTime is how long after the end of a reservation no capacity is reserved for another job
+// if the gang was not placed.
+const gangYieldTime = 3 * time.Second
+
 // GangReservation is the reservation of capacity across shards for one gang. The leader
 // creates the reservation, and the shards' owners add their holds.
 type GangReservation struct {
@@ -21,6 +25,15 @@
 	RetryAt time.Time            // earliest next reservation for the job
 }
 
+// YieldsUntil returns the time until which no capacity is reserved for another job, since the
+// reservation has ended; zero: the reservation has never ended.
+func (r *GangReservation) YieldsUntil() time.Time {
+	if r.RetryAt.IsZero() {
+		return time.Time{}
+	}
+	return r.RetryAt.Add(gangYieldTime - gangRetryPause)
+}
+
 // GangHold is the capacity that one shard's owner keeps free for a gang.
 type GangHold struct {
 	Record  records.GangHold
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -146,6 +146,8 @@
 	{"a gang reservation ends once a shard claims the job", "coordination/controller/gangs.go", `|| !canReserveAcrossShards(job) {
 			c.endGangReservation`, `|| false {
 			c.endGangReservation`},
+	{"capacity is reserved only for gangs that all machines can hold", "coordination/controller/gangs.go", `if exceedsShards && c.tasksAcrossShards(job.Spec()) >= job.Spec().Tasks {`, `if exceedsShards {`},
+	{"other work is placed between reservations for gangs", "coordination/controller/gangs.go", `	if c.isYielding(now) {`, `	if c.isYielding(now) && false {`},
 	{"a gang is placed only after its old attempt ends", "coordination/controller/schedule.go", `	if isGang && entry.Claim != nil && len(entry.Claim.Record.Placements) > 0 {
 		placement.ReleaseAssignments(entry.Spec, assignments, capacities)
 		return false, false // all placements of the gang's former attempt have to end first
