A machine gets no more tasks than its heartbeat may list, those placed and not listed yet included

Cause: the bound of 600 looked at the newest heartbeat, so one pass placed as many tasks as there was room for. Excluded: ended tasks that fill the list; none ends.

Change: the capacity that a pass works with counts the tasks that the agent lists or that are placed, and takes no more than 600. Machines with full lists are no supply when machines are rented, and a task of an array counts for at least its entry's part of a machine's CPUs; for tasks of 1/600 of a machine or more nothing changes.

--- a/internal/coordination/controller/capacities.go
+++ b/internal/coordination/controller/capacities.go
@@ -60,7 +60,8 @@
 		Machine:  machine, Host: machine.Host, Shard: shard.Name,
 		Type: machineType, TypeName: machine.Record.Type, Zone: machine.Record.Zone, Spot: machine.Record.Spot,
 	}
-	capacity.Free = c.view.FreeCapacity(machine) // also updates UnknownUse, which acceptsTasks reads
+	capacity.Free = c.view.FreeCapacity(machine) // also updates UnknownUse, which acceptsTasks reads, and Tasks
+	capacity.Tasks = machine.Capacity.Tasks
 	capacity.Usable = c.acceptsTasks(machine, now)
 	if machine.Agent.Heartbeat == nil && !machine.Lifecycle.Returning {
 		capacity.BootsAt = time.UnixMilli(machine.Record.RentedAtMs).Add(c.provisioner.bootStats.ExpectedBootTime(bootKindOf(machine), machineType.BootTime(), now))
@@ -82,13 +83,11 @@
 	return isKnown && !isLeaving(machine) && !hasUnclearState(machine, now) && !isListFull(machine) && c.isReachable(machine, now)
 }
 
-// maxListedTasks is the number of listed tasks from which a machine gets no more. An entry of a
-// heartbeat takes some 70 bytes, and a heartbeat may have 64 KiB.
-const maxListedTasks = 600
-
 // isListFull reports whether a machine's heartbeat lists so many tasks, most of them exited and not
 // reaped yet, that further ones could make it too large.
-func isListFull(machine *replica.Machine) bool { return len(machine.Agent.Tasks) >= maxListedTasks }
+func isListFull(machine *replica.Machine) bool {
+	return len(machine.Agent.Tasks) >= placement.MaxListedTasks
+}
 
 // isLeaving reports whether a machine is gone, being drained or returned, or about to be
 // preempted by the cloud.
--- a/internal/coordination/controller/heartbeats_test.go
+++ b/internal/coordination/controller/heartbeats_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"madderslip/internal/coordination/placement"
 	"madderslip/internal/protocol"
 )
 
@@ -125,7 +126,7 @@
 	inFleet(t, 30, func(t *testing.T, controller *Controller) {
 		machine := controller.view.Shards["n0"].Machines[0]
 		heartbeat := heartbeatOf(machine, 88)
-		for task := range maxListedTasks - len(heartbeat.Tasks) {
+		for task := range placement.MaxListedTasks - len(heartbeat.Tasks) {
 			heartbeat.Tasks = append(heartbeat.Tasks, protocol.TaskStatus{Task: protocol.TaskName("wk-77", task), Attempt: 1, Phase: protocol.TaskExited, Cause: protocol.CauseDone})
 		}
 		last := len(heartbeat.Tasks) - 1
@@ -142,3 +143,18 @@
 		}
 	})
 }
+
+// TestPlacedTasksCountAsListed guards against machines that get further tasks before their heartbeat lists the last ones.
+func TestPlacedTasksCountAsListed(t *testing.T) {
+	inFleet(t, 30, func(t *testing.T, controller *Controller) {
+		shard := controller.view.Shards["n0"]
+		machine := shard.Machines[0]
+		heartbeat := heartbeatOf(machine, 88)
+		placed := len(heartbeat.Tasks)
+		heartbeat.Tasks = append(heartbeat.Tasks[:1], protocol.TaskStatus{Task: "wk-77/0", Attempt: 1, Phase: protocol.TaskExited, Cause: protocol.CauseDone})
+		controller.respondToHeartbeat(heartbeat)
+		if got := controller.capacities(shard, time.Now())[0].Tasks; got != placed+1 {
+			t.Errorf("%d tasks count, want the %d placed ones and one that is listed alone", got, placed)
+		}
+	})
+}
--- a/internal/coordination/controller/scaleout.go
+++ b/internal/coordination/controller/scaleout.go
@@ -24,7 +24,7 @@
 		offers = append(offers, planner.Fill(demand, math.Inf(1))...)
 	}
 	others, bestEffort := provisioning.SplitBestEffort(arrays)
-	budget, bestEffortBudget := planner.ArrayBudget(others, bestEffort, c.runningLoad(), c.budgetPolicy())
+	budget, bestEffortBudget := planner.ArrayBudget(others, bestEffort, c.runningLoad(&planner), c.budgetPolicy())
 	offers = append(offers, fillArrays(&planner, others, budget)...)
 	offers = append(offers, fillArrays(&planner, bestEffort, bestEffortBudget)...)
 	for _, provision := range c.groupOffers(offers, now) {
@@ -110,18 +110,19 @@
 		BestEffortShare: c.policy.BestEffortProvisionShare, WarmShare: c.policy.WarmShare}
 }
 
-// runningLoad returns the CPUs of the placed tasks of arrays and services, in all shards.
-func (c *Controller) runningLoad() provisioning.RunningLoad {
+// runningLoad returns the CPUs for which the placed tasks of arrays and services count, in all shards.
+func (c *Controller) runningLoad(planner *provisioning.Planner) provisioning.RunningLoad {
 	var load provisioning.RunningLoad
 	for _, claim := range c.view.Claims {
 		if claim.Record == nil || claim.Spec == nil {
 			continue
 		}
-		switch cpus := float64(len(claim.Record.Placements)) * claim.Spec.CPUs; claim.Spec.Shape {
+		placed := float64(len(claim.Record.Placements))
+		switch claim.Spec.Shape {
 		case protocol.ShapeArray:
-			load.Arrays += cpus
+			load.Arrays += placed * planner.TaskCPUs(claim.Spec)
 		case protocol.ShapeService:
-			load.Services += cpus
+			load.Services += placed * claim.Spec.CPUs
 		}
 	}
 	return load
@@ -169,8 +170,9 @@
 	if machineType == nil || machine.Quarantine.Active || leaving || c.isPartitioned(machine.Record.Zone, now) {
 		return nil
 	}
+	free := c.view.FreeCapacity(machine) // also counts the machine's tasks
 	return &placement.Capacity{Machine: machine, Host: machine.Host, TypeName: machine.Record.Type, Zone: machine.Record.Zone,
-		Spot: machine.Record.Spot, Type: machineType, Shard: machine.Record.Shard, Free: c.view.FreeCapacity(machine)}
+		Spot: machine.Record.Spot, Type: machineType, Shard: machine.Record.Shard, Free: free, Tasks: machine.Capacity.Tasks}
 }
 
 // maxDemandTasks bounds the tasks of one chunk for which machines are provisioned in one
--- a/internal/coordination/placement/capacity.go
+++ b/internal/coordination/placement/capacity.go
@@ -21,6 +21,7 @@
 	Usable               bool      // new tasks may start on the machine
 	BootsAt              time.Time // expected end of the boot; zero: no boot is expected to end
 	Free                 protocol.MachineResources
+	Tasks                int // number of tasks that the machine lists or will list, those placed in this pass included
 	Type                 *protocol.MachineType
 	Machine              *replica.Machine // nil if the machine is not provisioned yet
 	IncomingImage        string           // image that the machine fetches for a task placed in this pass
@@ -50,8 +51,16 @@
 	return c.IncomingImage == image || (c.Machine != nil && c.Machine.HasImage(image))
 }
 
-// Fits reports whether the machine has enough free capacity for one task of a job.
-func (c *Capacity) Fits(spec *protocol.Submission) bool { return c.Free.Fits(spec) }
+// MaxListedTasks is the largest number of tasks that a machine gets, those included that have ended
+// and are still listed. An entry of a heartbeat takes some 70 bytes, and a heartbeat may have
+// 64 KiB.
+const MaxListedTasks = 600
+
+// Fits reports whether the machine has enough free capacity for one task of a job, and its heartbeat
+// for one more entry.
+func (c *Capacity) Fits(spec *protocol.Submission) bool {
+	return c.Tasks < MaxListedTasks && c.Free.Fits(spec)
+}
 
 // Accepts reports whether new tasks of a job may start on the machine, regardless of its free
 // capacity.
@@ -60,10 +69,16 @@
 }
 
 // Release returns one task's resources to the free capacity.
-func (c *Capacity) Release(spec *protocol.Submission) { c.Free = c.Free.Plus(spec) }
+func (c *Capacity) Release(spec *protocol.Submission) {
+	c.Free = c.Free.Plus(spec)
+	c.Tasks--
+}
 
 // Allocate takes one task's resources from the free capacity.
-func (c *Capacity) Allocate(spec *protocol.Submission) { c.Free = c.Free.Minus(spec, 1) }
+func (c *Capacity) Allocate(spec *protocol.Submission) {
+	c.Free = c.Free.Minus(spec, 1)
+	c.Tasks++
+}
 
 // ImagePullTime returns the expected time in which the machine fetches a job's image.
 func (c *Capacity) ImagePullTime(spec *protocol.Submission) time.Duration {
@@ -122,7 +137,7 @@
 		if !capacity.Accepts(spec, &zones) || capacity.AvoidedBy[jobID] || capacity.isReservedForOther(jobID) {
 			continue
 		}
-		fit := math.MaxInt32
+		fit := MaxListedTasks - capacity.Tasks
 		free := capacity.Free
 		for _, part := range [...]quotient{{free.CPUs, spec.CPUs}, {free.GPUs, spec.GPUs}, {free.MemoryGB, spec.MemoryGB}} {
 			if part.perTask > 0 {
@@ -134,11 +149,8 @@
 	return min(count, limit)
 }
 
-// maxTasksPerMachine bounds TasksPerMachine for tasks that use hardly any resources.
-const maxTasksPerMachine = 1000
-
-// TasksPerMachine returns how many tasks of a job fit an empty machine of a type, at least
-// one.
+// TasksPerMachine returns how many tasks of a job fit an empty machine of a type, at least one and
+// at most MaxListedTasks.
 func TasksPerMachine(spec *protocol.Submission, machineType *protocol.MachineType) int {
 	fit := math.Inf(1)
 	for _, part := range [...]quotient{{machineType.CPUs, spec.CPUs}, {machineType.GPUs, spec.GPUs}, {machineType.MemoryGB, spec.MemoryGB}} {
@@ -146,5 +158,5 @@
 			fit = min(fit, math.Floor((part.amount+tolerance)/part.perTask))
 		}
 	}
-	return max(1, int(min(fit, maxTasksPerMachine)))
+	return max(1, int(min(fit, MaxListedTasks)))
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -89,3 +89,30 @@
 		t.Fatal("the plan changed the capacities")
 	}
 }
+
+// TestMachineTakesNoMoreTasksThanItListsAtMost guards against heartbeats that are refused for their length.
+func TestMachineTakesNoMoreTasksThanItListsAtMost(t *testing.T) {
+	now := time.Now()
+	machineType := &protocol.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32}
+	tiny := &protocol.Submission{Shape: protocol.ShapeArray, Tasks: 2000, CPUs: 0.004, MemoryGB: 0.004}
+	capacities := capacitiesOf(machineType, 8)
+	capacities[0].Tasks = 100
+	if fit := TasksThatFit(tiny, "wk-1", capacities, 2000); fit != MaxListedTasks-100 {
+		t.Errorf("%d tasks fit beside 100", fit)
+	}
+	zones, placed := NewZoneConstraint(tiny, nil), 0
+	for Select(tiny, "wk-1", capacities, &zones, time.Second, now) >= 0 {
+		capacities[0].Allocate(tiny)
+		placed++
+	}
+	if placed != MaxListedTasks-100 {
+		t.Errorf("%d tasks are placed beside 100", placed)
+	}
+	capacities[0].Release(tiny)
+	if !capacities[0].Fits(tiny) {
+		t.Error("no task fits once one is released")
+	}
+	if perMachine := TasksPerMachine(tiny, machineType); perMachine != MaxListedTasks {
+		t.Errorf("%d tasks for each machine that is rented", perMachine)
+	}
+}
--- a/internal/coordination/provisioning/budget.go
+++ b/internal/coordination/provisioning/budget.go
@@ -34,7 +34,8 @@
 		total += capacity.Type.CPUs
 		// Machines with GPUs do not count as supply for arrays: arrays would fill these
 		// machines, and jobs that need GPUs would find no machine with free capacity.
-		if capacity.Type.GPUs == 0 {
+		// A machine whose list of tasks is full takes none, whatever CPUs are free.
+		if capacity.Type.GPUs == 0 && capacity.Tasks < placement.MaxListedTasks {
 			supply += max(0, capacity.Free.CPUs)
 		}
 	}
@@ -51,11 +52,26 @@
 	need := 0.0
 	for _, demand := range arrays {
 		runtime := max(demand.Runtime, minRuntime)
-		need += float64(demand.Count) * demand.Spec.CPUs * runtime.Seconds() / p.drainTime(demand, runtime, policy).Seconds()
+		need += float64(demand.Count) * p.TaskCPUs(demand.Spec) * runtime.Seconds() / p.drainTime(demand, runtime, policy).Seconds()
 	}
 	return need
 }
 
+// TaskCPUs returns the CPUs for which a task of an array counts: those that it uses, or more if
+// the list of a machine is full before the machine's CPUs are used.
+func (p *Planner) TaskCPUs(spec *protocol.Submission) float64 {
+	perEntry := math.Inf(1)
+	for _, machineType := range p.Market.Types {
+		if machineType.GPUs == 0 && placement.FitsEmpty(spec, machineType) {
+			perEntry = min(perEntry, machineType.CPUs/placement.MaxListedTasks)
+		}
+	}
+	if math.IsInf(perEntry, 1) {
+		return spec.CPUs
+	}
+	return max(spec.CPUs, perEntry)
+}
+
 // bestEffortLimit returns how many CPUs may be provisioned for best-effort work: its share of
 // all CPUs, but at least one machine of the smallest type unless the share is 0. In a small
 // fleet the share is less than a machine, so that none would ever be provisioned.
--- a/internal/coordination/replica/capacity.go
+++ b/internal/coordination/replica/capacity.go
@@ -12,6 +12,7 @@
 // record or tasks change.
 type CapacityCache struct {
 	Free  protocol.MachineResources // the machine's free resources; valid unless Stale is set
+	Tasks int                       // number of tasks that the agent lists or that are placed on the machine; valid unless Stale is set
 	Stale bool
 	// Releases is sorted by time, and Victims so that those to be preempted first come first.
 	// Both are valid unless DetailsStale is set.
@@ -49,7 +50,7 @@
 	return max(lost, 0) * max(spec.CPUs, 1)
 }
 
-// FreeCapacity returns a machine's free capacity. Every task that is or may be on the machine
+// FreeCapacity returns a machine's free capacity, and counts the tasks of the machine. Every task that is or may be on the machine
 // uses capacity, whether its placement is recorded or only its agent reports it. A task that
 // the agent reports as exited uses none, even before its end is recorded.
 func (v *View) FreeCapacity(machine *Machine) protocol.MachineResources {
@@ -59,7 +60,11 @@
 	machineType := v.MachineType(machine.Record.Type)
 	machine.Capacity.Free = protocol.ResourcesOf(&machineType)
 	machine.Capacity.Stale, machine.Capacity.UnknownUse = false, false
-	for _, slot := range machine.Use.Slots {
+	machine.Capacity.Tasks = len(machine.Agent.Tasks)
+	for name, slot := range machine.Use.Slots {
+		if machine.Agent.Tasks[name] == nil {
+			machine.Capacity.Tasks++
+		}
 		if !slot.Exited(machine) {
 			machine.allocate(slot.Claim.Spec)
 		}
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -148,6 +148,7 @@
 			c.endGangReservation`},
 	{"capacity is reserved only for gangs that all machines can hold", "coordination/controller/gangs.go", `if exceedsShards && c.tasksAcrossShards(job.Spec()) >= job.Spec().Tasks {`, `if exceedsShards {`},
 	{"other work is placed between reservations for gangs", "coordination/controller/gangs.go", `	if c.isYielding(now) {`, `	if c.isYielding(now) && false {`},
+	{"a machine gets no more tasks than its heartbeat may list", "coordination/placement/capacity.go", `return c.Tasks < MaxListedTasks && c.Free.Fits(spec)`, `return c.Free.Fits(spec)`},
 	{"a gang is placed only after its old attempt ends", "coordination/controller/schedule.go", `	if isGang && entry.Claim != nil && len(entry.Claim.Record.Placements) > 0 {
 		placement.ReleaseAssignments(entry.Spec, assignments, capacities)
 		return false, false // all placements of the gang's former attempt have to end first
--- a/internal/simtest/job_line.go
+++ b/internal/simtest/job_line.go
@@ -19,6 +19,7 @@
 var jobKeys = map[string]func(line *jobLine, text string, number float64){
 	"tasks": func(line *jobLine, _ string, n float64) { line.job.Spec.Tasks = int(n) },
 	"cpus":  func(line *jobLine, _ string, n float64) { line.job.Spec.CPUs = n },
+	"mem":   func(line *jobLine, _ string, n float64) { line.job.Spec.MemoryGB = n },
 	"cards": func(line *jobLine, _ string, n float64) { line.job.Spec.GPUs = n },
 	"run": func(line *jobLine, _ string, n float64) {
 		line.job.Run, line.job.Spec.RunEstimateS = protocol.Seconds(n), n
