All records are read and applied page by page

Cause: kv.Client.List kept all items until the last page, and View.Relist built a set of their keys beside them, though the view keeps 200,000 final jobs. Excluded: a view that is too large; running controllers need 80 MB.

Change: List passes on each page and drops it; the view applies pages as they come and counts as loaded when the list is complete. What the view had and no page has is removed at the end, by the view's keys.

--- a/internal/coordination/controller/collaborators.go
+++ b/internal/coordination/controller/collaborators.go
@@ -15,7 +15,7 @@
 	// Get reads one key. If the key has no record, the value of the item is nil.
 	Get(ctx context.Context, key string) (kv.Item, error)
 	// List reads all records. A watch from the returned revision misses no later change.
-	List(ctx context.Context) ([]kv.Item, uint64, error)
+	List(ctx context.Context, apply func(page []kv.Item)) (uint64, error)
 	// Watch returns the changes after a revision, and the revision up to which they are
 	// complete. If there are none yet, it waits for them for at most block.
 	Watch(ctx context.Context, from uint64, block time.Duration) ([]kv.Item, uint64, error)
--- a/internal/coordination/controller/watch.go
+++ b/internal/coordination/controller/watch.go
@@ -21,22 +21,41 @@
 // reads all records again when the next changes have been compacted.
 func (c *Controller) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sentAt := time.Now()
-		items, revision, err := c.store.List(ctx)
+		revision, err := c.readRecords(ctx)
 		if err != nil {
 			c.log.Info("records read failed", "err", err)
 			c.pause(ctx, listRetryPause)
 			continue
 		}
-		c.mu.Lock()
-		c.view.Relist(items, revision)
-		c.view.CompleteAt = sentAt
-		c.mu.Unlock()
-		c.log.Info("records read", "records", len(items), "revision", revision)
 		c.followChanges(ctx, revision)
 	}
 }
 
+// readRecords reads all records, applies each page of them to the view, and returns the revision up
+// to which the view is complete. After an error the view keeps the pages that were read.
+func (c *Controller) readRecords(ctx context.Context) (uint64, error) {
+	sentAt := time.Now()
+	c.mu.Lock()
+	relisting := c.view.BeginRelisting()
+	c.mu.Unlock()
+	count := 0
+	revision, err := c.store.List(ctx, func(page []kv.Item) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		relisting.Apply(page)
+		count += len(page)
+	})
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	relisting.Finish(revision)
+	c.view.CompleteAt = sentAt
+	c.mu.Unlock()
+	c.log.Info("records read", "records", count, "revision", revision)
+	return revision, nil
+}
+
 // followChanges applies the changes after a revision until the next ones are compacted or the
 // context ends.
 func (c *Controller) followChanges(ctx context.Context, revision uint64) {
--- a/internal/coordination/replica/apply.go
+++ b/internal/coordination/replica/apply.go
@@ -133,28 +133,6 @@
 	v.Apply(item.Key, record, item.Version)
 }
 
-// Relist applies the list of all records as of a revision. Cached records of this revision
-// or an earlier one that the list lacks have been deleted, and are removed from the cache.
-func (v *View) Relist(items []kv.Item, revision uint64) {
-	listed := make(map[string]bool, len(items))
-	for _, item := range items {
-		listed[item.Key] = true
-		v.ApplyItem(item)
-	}
-	var removed []string
-	for key, version := range v.Versions {
-		if !listed[key] && version <= revision {
-			removed = append(removed, key)
-		}
-	}
-	slices.Sort(removed)
-	for _, key := range removed {
-		v.Apply(key, nil, revision)
-	}
-	v.Loaded = true
-	v.ReachRevision(revision)
-}
-
 // ReachRevision records that the watch is complete up to a revision. Cancelled jobs that
 // were kept only because the watch could still deliver claims of them are dropped.
 func (v *View) ReachRevision(revision uint64) {
--- a/internal/storage/kv/errors_test.go
+++ b/internal/storage/kv/errors_test.go
@@ -28,7 +28,7 @@
 		return err
 	}, "get", "c/wk-1/1", ErrNotExecuted},
 	{"a list while the service is down", 503, "", func(ctx context.Context, c *Client) error {
-		_, _, err := c.List(ctx)
+		_, _, err := listAll(ctx, c)
 		return err
 	}, "list", "", ErrNotExecuted},
 	{"a watch that fell behind", 410, "", func(ctx context.Context, c *Client) error {
--- a/internal/storage/kv/golden_test.go
+++ b/internal/storage/kv/golden_test.go
@@ -58,7 +58,7 @@
 	if err := client.KeepAlive(ctx, 8); err != nil {
 		t.Error(err)
 	}
-	if _, revision, err := client.List(ctx); err != nil || revision != 9 {
+	if _, revision, err := listAll(ctx, client); err != nil || revision != 9 {
 		t.Errorf("%d %v", revision, err)
 	}
 	if _, revision, err := client.Watch(ctx, 5, 3*time.Second); err != nil || revision != 9 {
--- a/internal/storage/kv/list.go
+++ b/internal/storage/kv/list.go
@@ -21,30 +21,32 @@
 	pageFailedPause  = 500*time.Millisecond + 89*time.Nanosecond
 )
 
-// List reads all keys, page by page. It returns the revision of the first page: a watch from
-// that revision misses no change, however long the other pages take.
+// List reads all keys, page by page in the order of the keys, and calls apply with the items of each
+// page. It returns the revision of the first page: a watch from that revision misses no change,
+// however long the other pages take. A page is dropped before the next one is read: all records
+// of months of jobs together would exceed a process's memory (TestListKeepsOnePage).
 //
 // If the first page can't be read, List returns the error. A later page is read again until the
-// context ends, unless the state service calls the request malformed, and what was read before is
-// kept. With many keys, controllers that read at the same time exceed the request rate together;
+// context ends, unless the state service calls the request malformed. With many keys, controllers that read at the same time exceed the request rate together;
 // if each refusal made them begin anew, none would ever finish (TestClientsListManyKeysTogether).
-func (c *Client) List(ctx context.Context) ([]Item, uint64, error) {
-	var all []Item
+func (c *Client) List(ctx context.Context, apply func(page []Item)) (uint64, error) {
 	from, revision := "", uint64(0)
 	for first := true; ; first = false {
 		page, err := c.readPage(ctx, from, !first)
 		if err != nil {
-			return nil, 0, wrapError(opList, "", err)
+			return 0, wrapError(opList, "", err)
 		}
 		if first {
 			revision = page.Revision
 		}
+		items := make([]Item, 0, len(page.Items))
 		for _, item := range page.Items {
 			from = item.Key
-			all = append(all, Item{strings.TrimPrefix(item.Key, keyPrefix), item.Value, item.Version})
+			items = append(items, Item{strings.TrimPrefix(item.Key, keyPrefix), item.Value, item.Version})
 		}
+		apply(items)
 		if !page.Truncated || len(page.Items) == 0 {
-			return all, revision, nil
+			return revision, nil
 		}
 	}
 }
--- a/internal/storage/kv/list_test.go
+++ b/internal/storage/kv/list_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/url"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,13 @@
 	return New(service, "x", protocol.StateLimits{RequestRate: requestRate, WriteRate: 30}, slog.New(slog.DiscardHandler))
 }
 
+// listAll returns all items of a list.
+func listAll(ctx context.Context, client *Client) ([]Item, uint64, error) {
+	var all []Item
+	revision, err := client.List(ctx, func(page []Item) { all = append(all, page...) })
+	return all, revision, err
+}
+
 // Three controllers restart together while the state service holds 240,000 records, which are 480
 // pages. Together they exceed the request rate and are refused again and again. A list that began
 // anew after each refusal would never end, and no question of a user would be answered.
@@ -89,7 +97,7 @@
 				client := newPagedClient(service, requestRate)
 				client.SetBudgetShare(1)
 				for ctx.Err() == nil {
-					if items, _, err := client.List(ctx); err == nil {
+					if items, _, err := listAll(ctx, client); err == nil {
 						if len(items) != pages {
 							t.Errorf("client %d: %d pages", i, len(items))
 						}
@@ -120,7 +128,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				service := &pagedService{pages: test.pages, requests: rate.NewLimiter(rate.Inf, 1), failures: test.failures}
-				items, revision, err := newPagedClient(service, 100).List(t.Context())
+				items, revision, err := listAll(t.Context(), newPagedClient(service, 100))
 				if (err != nil) != test.wantErr {
 					t.Fatalf("%d items, %v", len(items), err)
 				}
@@ -132,8 +140,58 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		service := &pagedService{pages: 1, requests: rate.NewLimiter(0, 0)}
-		if _, _, err := newPagedClient(service, 100).List(t.Context()); !errors.Is(err, ErrNotExecuted) {
+		if _, _, err := listAll(t.Context(), newPagedClient(service, 100)); !errors.Is(err, ErrNotExecuted) {
 			t.Errorf("a refused first page gives %v", err)
 		}
 	})
 }
+
+// largePages is a state service with pages of 500 records of 250 bytes.
+type largePages struct{ pages int }
+
+func (s *largePages) Do(_ context.Context, _, _, target string, _ []byte) (int, []byte, error) {
+	u, err := url.Parse(target)
+	if err != nil {
+		return 0, nil, err
+	}
+	next := 0
+	if from := u.Query().Get("from"); from != "" {
+		last, err := strconv.Atoi(strings.TrimPrefix(from, keyPrefix))
+		if err != nil {
+			return 400, nil, nil
+		}
+		next = last + 1
+	}
+	body := []byte(`{"items":[`)
+	for i := range listPageItems {
+		body = fmt.Appendf(body, `{"key":"%s%08d","value":{"d":"%s"},"stamp":1},`, keyPrefix, next+i, strings.Repeat("x", 250))
+	}
+	return 200, fmt.Appendf(body[:len(body)-1], `],"truncated":%v,"epoch":10}`, next/listPageItems+1 < s.pages), nil
+}
+
+// TestListKeepsOnePage guards against a process that exceeds its memory as it reads all records after a crash, and never comes back.
+func TestListKeepsOnePage(t *testing.T) {
+	const (
+		pages    = 300
+		maxBytes = 8 << 20 // the records have 48 MB
+	)
+	client := New(&largePages{pages}, "x", protocol.StateLimits{RequestRate: 1e6, WriteRate: 30}, slog.New(slog.DiscardHandler))
+	client.SetBudgetShare(1)
+	heap := func() int64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before, count, most := heap(), 0, int64(0)
+	if _, err := client.List(t.Context(), func(page []Item) {
+		if count += len(page); count%(50*listPageItems) == 0 {
+			most = max(most, heap()-before)
+		}
+	}); err != nil || count != pages*listPageItems {
+		t.Fatalf("%d records, %v", count, err)
+	}
+	if most > maxBytes {
+		t.Errorf("%d bytes are kept while records are read", most)
+	}
+}
