Clean-up: one function for the placement of a shown attempt; one raise voids all unknown starts

stopsOfUnplaced and cleanupCommands each compared a shown attempt with the placement; placementOfStatus serves both.

--- a/internal/coordination/controller/agents.go
+++ b/internal/coordination/controller/agents.go
@@ -51,15 +51,23 @@
 	}
 }
 
+// placementOfStatus returns the claim and the placement of the attempt that a machine shows, or nil if
+// that attempt is not placed there.
+func (c *Controller) placementOfStatus(machine *replica.Machine, status *protocol.TaskStatus) (*replica.Claim, *records.Placement) {
+	claim, placement := c.view.PlacementOf(machine, status.Task)
+	if placement == nil || placement.Attempt != status.Attempt {
+		return nil, nil
+	}
+	return claim, placement
+}
+
 // stopsOfUnplaced returns a stop for each task that a machine shows and that is not placed there.
 // An attempt that is not placed is never placed later, so the stops are correct at any time.
 func (c *Controller) stopsOfUnplaced(machine *replica.Machine) []protocol.Command {
 	var stops []protocol.Command
 	for i := range machine.Agent.Heartbeat.Tasks {
 		status := &machine.Agent.Heartbeat.Tasks[i]
-		_, placement := c.view.PlacementOf(machine, status.Task)
-		isPlaced := placement != nil && placement.Attempt == status.Attempt
-		if !isPlaced && status.Phase != protocol.TaskExited {
+		if _, placement := c.placementOfStatus(machine, status); placement == nil && status.Phase != protocol.TaskExited {
 			stops = append(stops, protocol.StopCommand(status.Task, status.Attempt, 0))
 		}
 	}
@@ -271,10 +279,10 @@
 	now := time.Now()
 	for i := range machine.Agent.Heartbeat.Tasks {
 		status := &machine.Agent.Heartbeat.Tasks[i]
-		claim, placement := c.view.PlacementOf(machine, status.Task)
+		claim, placement := c.placementOfStatus(machine, status)
 		switch {
-		case placement != nil && placement.Attempt == status.Attempt:
-			if command, needed := c.cleanupPlaced(shard, machine, claim, placement, status, now); needed {
+		case placement != nil:
+			if command, needed := c.cleanupPlaced(claim, placement, status, now); needed {
 				c.logDecision(machine, command, placedCleanupReason(command))
 				commands = append(commands, command)
 			}
@@ -302,7 +310,7 @@
 // cleanupPlaced returns the cleanup command for a task that is placed on its machine, and reports
 // whether the task needs one: a stop, or a reap for a task of a gang that waited too long for the
 // others and exited, so that it can start again.
-func (c *Controller) cleanupPlaced(shard *replica.Shard, machine *replica.Machine, claim *replica.Claim, placement *records.Placement, status *protocol.TaskStatus, now time.Time) (protocol.Command, bool) {
+func (c *Controller) cleanupPlaced(claim *replica.Claim, placement *records.Placement, status *protocol.TaskStatus, now time.Time) (protocol.Command, bool) {
 	grace, stop := c.shouldStop(claim, placement, now)
 	exited := status.Phase == protocol.TaskExited
 	if stop {
--- a/internal/coordination/replica/commandqueue.go
+++ b/internal/coordination/replica/commandqueue.go
@@ -83,6 +83,16 @@
 	})
 }
 
+// highestUnknownToken returns the highest token of the starts of unknown outcome, or 0 if there are
+// none.
+func (q *CommandQueue) highestUnknownToken() uint64 {
+	highest := uint64(0)
+	for _, start := range q.Unknown {
+		highest = max(highest, start.FencingToken)
+	}
+	return highest
+}
+
 // HasOverdueStart reports whether a start is of unknown outcome for longer than its agent waits for
 // an answer, so that the agent seems unable to send heartbeats.
 func (q *CommandQueue) HasOverdueStart(now time.Time) bool {
--- a/internal/coordination/replica/machinetoken.go
+++ b/internal/coordination/replica/machinetoken.go
@@ -59,9 +59,7 @@
 		return false
 	}
 	before := machine.CommandToken(shard)
-	for _, start := range machine.Commands.Unknown {
-		v.RaiseToken(shard, machine, start.FencingToken)
-	}
+	v.RaiseToken(shard, machine, machine.Commands.highestUnknownToken())
 	rose := machine.CommandToken(shard) > before
 	if !rose && now.Sub(machine.Commands.TokenSentAt) < tokenResendInterval {
 		return false
