--- a/internal/coordination/controller/commands.go
+++ b/internal/coordination/controller/commands.go
@@ -20,7 +20,8 @@
 	return shard != nil && shard.FencingToken != 0 && machine.Record.State == records.MachineInUse
 }
 
-// queueCommands queues commands that begin no task for a machine until the next sendPendingCommands or sendCommands.
+// queueCommands queues commands that begin no task for a machine until the next sendPendingCommands
+// or sendCommands.
 func (c *Controller) queueCommands(shard *replica.Shard, machine *replica.Machine, commands ...protocol.Command) {
 	if !mayCommand(shard, machine) || machine.Address() == "" {
 		return
--- a/internal/coordination/controller/gangs.go
+++ b/internal/coordination/controller/gangs.go
@@ -27,9 +27,9 @@
 )
 
 // crossShardGangs lists the waiting gangs that no shard could hold even with all its machines
-// empty, and all shards together could, in the order of the queue. It includes gangs that were placed across shards before
-// and whose attempt has ended: since no shard holds the claim of such a gang, the gang would
-// otherwise wait without bound once a shard has grown large enough for it.
+// empty, and all shards together could, in the order of the queue. It includes gangs that were
+// placed across shards before and whose attempt has ended: since no shard holds the claim of such
+// a gang, the gang would otherwise wait without bound once a shard has grown large enough for it.
 func (c *Controller) crossShardGangs(now time.Time) []*replica.Job {
 	var gangs []*replica.Job
 	for _, job := range c.view.Jobs {
@@ -146,8 +146,8 @@
 }
 
 // isYielding reports whether a reservation is being ended, or has just ended while its gang still
-// waits. The next reservation begins later, so that other work can be placed in between: otherwise gangs that
-// fit only once that work is gone would hold all free capacity by turns.
+// waits. The next reservation begins later, so that other work can be placed in between: otherwise
+// gangs that fit only once that work is gone would hold all free capacity by turns.
 func (c *Controller) isYielding(now time.Time) bool {
 	for jobID, reservation := range c.view.GangReservations {
 		job := c.view.Jobs[jobID]
