TestAnswersWithoutStarts has a task that is due, so that late heartbeats are told apart

The test passed without the check that a heartbeat is later than all before it: the newest status listed the task, so no start was due. Now a reply to a direct call does not list it, and one case, with nothing in the way, must get the start.

--- a/internal/coordination/controller/starts_test.go
+++ b/internal/coordination/controller/starts_test.go
@@ -97,6 +97,7 @@
 		prepare func(controller *Controller, machine *replica.Machine, slot *replica.Slot)
 		message func(lost func(uint64) *protocol.Heartbeat) *protocol.Heartbeat
 	}{
+		{"nothing, so that the start is due", nil, nil},
 		{"a copy of the heartbeat answered last", nil, func(lost func(uint64) *protocol.Heartbeat) *protocol.Heartbeat { return lost(88) }},
 		{"an earlier heartbeat", nil, func(lost func(uint64) *protocol.Heartbeat) *protocol.Heartbeat { return lost(86) }},
 		{"the first heartbeat after a restart", nil, func(lost func(uint64) *protocol.Heartbeat) *protocol.Heartbeat {
@@ -121,16 +122,19 @@
 	} {
 		inFleetWithLostTask(t, func(controller *Controller, machine *replica.Machine, slot *replica.Slot, lost func(uint64) *protocol.Heartbeat) {
 			answerTo(t, controller, heartbeatOf(machine, 88))
+			controller.observeHeartbeat(machine, lost(89)) // a reply to a direct call, which does not list the task
 			if test.prepare != nil {
 				test.prepare(controller, machine, slot)
 			}
-			heartbeat := lost(89)
+			heartbeat := lost(90)
 			if test.message != nil {
 				heartbeat = test.message(lost)
 			}
 			var answer protocol.HeartbeatResponse
 			_ = json.Unmarshal(controller.respondToHeartbeat(heartbeat).Body, &answer)
-			if slices.ContainsFunc(answer.Commands, func(command protocol.Command) bool { return command.Verb == protocol.VerbStart }) {
+			isDue := test.prepare == nil && test.message == nil
+			starts := slices.ContainsFunc(answer.Commands, func(command protocol.Command) bool { return command.Verb == protocol.VerbStart })
+			if starts != isDue {
 				t.Errorf("%s: answered %v", test.name, answer.Commands)
 			}
 		})
